--- /dev/null
+++ b/src/cmake/savoryring_package.cmake
@@ -0,0 +1,16 @@
+# savoryring_package(NAME SOURCES ... LINKS ... TESTS ...)
+# A static library lib<NAME> with one test program beside it.
+function(savoryring_package name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;LINKS;TESTS" ${ARGN})
+  add_library(savoryring_${name} STATIC ${ARG_SOURCES})
+  target_include_directories(savoryring_${name} PUBLIC
+    ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR}/src/include)
+  target_link_libraries(savoryring_${name} PUBLIC ${ARG_LINKS})
+  if(ARG_TESTS)
+    add_executable(${name}_test ${ARG_TESTS}
+      ${PROJECT_SOURCE_DIR}/src/libbase/test_main.cc)
+    target_link_libraries(${name}_test PRIVATE
+      savoryring_${name} PkgConfig::CPPUTEST)
+    add_test(NAME ${name} COMMAND ${name}_test)
+  endif()
+endfunction()
--- /dev/null
+++ b/src/libbase/events.cc
@@ -0,0 +1,169 @@
+#include "libbase/events.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/trivial.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/log/utility/setup/console.hpp>
+#include <boost/log/utility/setup/file.hpp>
+#include <filesystem>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "savoryring/result.h"
+
+namespace savoryring {
+namespace {
+
+namespace trivial = boost::log::trivial;
+
+using enum Event;
+using enum Severity;
+
+constexpr std::array kCatalogue{
+    EventInfo{kStarted, "started", kInfo, "a process serves its duties"},
+    EventInfo{kStopped, "stopped", kInfo, "a process ended in order"},
+    EventInfo{kDraining, "draining", kInfo,
+              "a process takes no new work and finishes what it has"},
+    EventInfo{kStartFailed, "start-failed", kError,
+              "a process could not start; the fields say why"},
+    EventInfo{kForeignMessage, "foreign-message", kWarning,
+              "bytes on a link port were not a whole message; dropped"},
+    EventInfo{kConnectionReplaced, "connection-replaced", kWarning,
+              "a peer did not acknowledge; a fresh connection is used"},
+    EventInfo{kRequestAnswered, "request-answered", kDebug,
+              "a caller got the endpoint's answer"},
+    EventInfo{kRequestRefused, "request-refused", kInfo,
+              "a caller's request was refused and did not run"},
+    EventInfo{kOutcomeUnknown, "outcome-unknown", kWarning,
+              "a caller was told that its request may have run"},
+    EventInfo{kAttemptRetried, "attempt-retried", kDebug,
+              "a request goes to another endpoint"},
+    EventInfo{kEndpointAppeared, "endpoint-appeared", kInfo,
+              "an endpoint announced itself"},
+    EventInfo{kEndpointLeft, "endpoint-left", kInfo,
+              "an endpoint is leaving or fell silent"},
+    EventInfo{kEndpointEjected, "endpoint-ejected", kWarning,
+              "an endpoint failed repeatedly and is avoided for a while"},
+    EventInfo{kEstateApplied, "estate-applied", kInfo,
+              "a revision of the estate is in force in this process"},
+    EventInfo{kEstateRejected, "estate-rejected", kWarning,
+              "a submitted estate was refused"},
+    EventInfo{kBecameLeader, "became-leader", kInfo,
+              "this replica leads the control group"},
+    EventInfo{kLostLeadership, "lost-leadership", kWarning,
+              "this replica leads no longer"},
+    EventInfo{kGroupFormed, "group-formed", kInfo,
+              "this replica belongs to a formed control group"},
+    EventInfo{kReplicaReplaced, "replica-replaced", kWarning,
+              "a replica with a new disk enters the group"},
+    EventInfo{kSnapshotTaken, "snapshot-taken", kInfo,
+              "the log was compacted into a snapshot"},
+    EventInfo{kLogDamaged, "log-damaged", kError,
+              "a stored record is damaged; the replica does not start"},
+    EventInfo{kTornTailCut, "torn-tail-cut", kWarning,
+              "an incomplete last record was removed from the log"},
+    EventInfo{kDiskFailed, "disk-failed", kError,
+              "the data folder can't be written; the process ends"},
+    EventInfo{kWorkerRegistered, "worker-registered", kInfo,
+              "a worker joined or came back"},
+    EventInfo{kWorkerLost, "worker-lost", kWarning,
+              "a worker's lease ended; its tasks are placed elsewhere"},
+    EventInfo{kWorkerQuarantined, "worker-quarantined", kWarning,
+              "a worker failed several tasks and gets only probes"},
+    EventInfo{kTaskStarted, "task-started", kInfo, "a worker runs a task"},
+    EventInfo{kTaskEnded, "task-ended", kInfo, "a task ended on a worker"},
+    EventInfo{kTaskParked, "task-parked", kWarning,
+              "a task can't run; explain tells why"},
+    EventInfo{kTaskEvicted, "task-evicted", kInfo,
+              "a task is stopped through a checkpoint to relieve a worker"},
+    EventInfo{kLeaseEnded, "lease-ended", kWarning,
+              "no lease was renewed in time; tasks are stopped"},
+    EventInfo{kWorkerUnreachable, "worker-unreachable", kWarning,
+              "the worker on this VM does not answer"},
+};
+
+trivial::severity_level LevelOf(Severity severity) {
+  switch (severity) {
+    case kDebug:
+      return trivial::debug;
+    case kInfo:
+      return trivial::info;
+    case kWarning:
+      return trivial::warning;
+    case kError:
+      return trivial::error;
+  }
+  return trivial::error;
+}
+
+trivial::severity_level ParseLevel(const std::string& name) {
+  if (name == "debug")
+    return trivial::debug;
+  if (name == "info")
+    return trivial::info;
+  if (name == "warning")
+    return trivial::warning;
+  return trivial::error;
+}
+
+std::string& ProcessName() {
+  static std::string name = "-";
+  return name;
+}
+
+const EventInfo& InfoOfEvent(Event event) {
+  return *std::ranges::find(kCatalogue, event, &EventInfo::event);
+}
+
+}  // namespace
+
+std::span<const EventInfo> EventCatalogue() {
+  return kCatalogue;
+}
+
+void StartLog(const LogSettings& settings, const std::string& process) {
+  namespace keywords = boost::log::keywords;
+  constexpr const char* kFormat = "%TimeStamp% %Severity% %Message%";
+  ProcessName() = process;
+  boost::log::add_common_attributes();
+  boost::log::register_simple_formatter_factory<trivial::severity_level, char>(
+      "Severity");
+  if (settings.file.empty()) {
+    boost::log::add_console_log(std::clog, keywords::format = kFormat,
+                                keywords::auto_flush = true);
+  } else {
+    std::error_code ignored;
+    std::filesystem::create_directories(
+        std::filesystem::path(settings.file).parent_path(), ignored);
+    boost::log::add_file_log(keywords::file_name = settings.file,
+                             keywords::open_mode = std::ios::app,
+                             keywords::format = kFormat,
+                             keywords::auto_flush = true);
+  }
+  boost::log::core::get()->set_filter(trivial::severity >=
+                                      ParseLevel(settings.level));
+}
+
+void LogEvent(Event event, std::initializer_list<Field> fields) {
+  const EventInfo& info = InfoOfEvent(event);
+  thread_local boost::log::sources::severity_logger<trivial::severity_level>
+      logger;
+  BOOST_LOG_SEV(logger, LevelOf(info.severity))
+      << ProcessName() << ' ' << static_cast<int>(event) << ' ' << info.name
+      << [&fields] {
+           std::string text;
+           for (const Field& field : fields) {
+             const nlohmann::json quoted(field.value);
+             text += " " + std::string(field.name) + "=" +
+                     quoted.dump(-1, ' ', true,
+                                 nlohmann::json::error_handler_t::replace);
+           }
+           return text;
+         }();
+}
+
+}  // namespace savoryring
--- /dev/null
+++ b/src/libbase/events.h
@@ -0,0 +1,76 @@
+/// Numbered log events, written through Boost.Log, one line each.
+#ifndef SAVORYRING_LIBBASE_EVENTS_H_
+#define SAVORYRING_LIBBASE_EVENTS_H_
+
+#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "savoryring/settings.h"
+
+namespace savoryring {
+
+enum class Severity { kDebug, kInfo, kWarning, kError };
+
+enum class Event {
+  kStarted = 1001,
+  kStopped = 1002,
+  kDraining = 1003,
+  kStartFailed = 1004,
+  kForeignMessage = 1101,
+  kConnectionReplaced = 1102,
+  kRequestAnswered = 1201,
+  kRequestRefused = 1202,
+  kOutcomeUnknown = 1203,
+  kAttemptRetried = 1204,
+  kEndpointAppeared = 1301,
+  kEndpointLeft = 1302,
+  kEndpointEjected = 1303,
+  kEstateApplied = 1401,
+  kEstateRejected = 1402,
+  kBecameLeader = 1501,
+  kLostLeadership = 1502,
+  kGroupFormed = 1503,
+  kReplicaReplaced = 1504,
+  kSnapshotTaken = 1505,
+  kLogDamaged = 1506,
+  kTornTailCut = 1507,
+  kDiskFailed = 1508,
+  kWorkerRegistered = 1601,
+  kWorkerLost = 1602,
+  kWorkerQuarantined = 1603,
+  kTaskStarted = 1701,
+  kTaskEnded = 1702,
+  kTaskParked = 1703,
+  kTaskEvicted = 1704,
+  kLeaseEnded = 1705,
+  kWorkerUnreachable = 1706,
+};
+
+struct EventInfo {
+  Event event = Event::kStarted;
+  std::string_view name;
+  Severity severity = Severity::kInfo;
+  std::string_view meaning;
+};
+
+/// The whole catalogue, by ascending number.
+std::span<const EventInfo> EventCatalogue();
+
+/// One named value of a log line.
+struct Field {
+  std::string_view name;
+  std::string value;
+};
+
+/// Sets the level and the file. Throws Error (kUnreadableFile).
+void StartLog(const LogSettings& settings, const std::string& process);
+
+/// Writes one line: time, level, process, number, name and the fields.
+/// Thread safe.
+void LogEvent(Event event, std::initializer_list<Field> fields);
+
+}  // namespace savoryring
+
+#endif  // SAVORYRING_LIBBASE_EVENTS_H_
--- /dev/null
+++ b/src/libbase/json_checker.cc
@@ -0,0 +1,185 @@
+#include "libbase/json_checker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace savoryring {
+namespace {
+
+using nlohmann::json;
+
+const json& EmptyObject() {
+  static const json empty = json::object();
+  return empty;
+}
+
+}  // namespace
+
+json ParseJson(std::string_view text) {
+  try {
+    return json::parse(text);
+  } catch (const json::exception& failure) {
+    throw Error(ResultCode::kMalformedJson, failure.what());
+  }
+}
+
+void ProblemList::Add(ResultCode code,
+                      const std::string& pointer,
+                      std::string detail) {
+  this->problems.push_back(
+      {.code = code, .pointer = pointer, .detail = std::move(detail)});
+}
+
+void ProblemList::ThrowIfAny() const {
+  if (!this->problems.empty())
+    throw Error(this->problems);
+}
+
+ObjectView::ObjectView(const json& value,
+                       std::string pointer,
+                       ProblemList& problems)
+    : value(&value), place(std::move(pointer)), problems(&problems) {
+  if (value.is_object())
+    return;
+  problems.Add(ResultCode::kWrongType, this->place.empty() ? "/" : this->place,
+               "expected an object");
+  this->value = &EmptyObject();
+}
+
+void ObjectView::AllowKeys(
+    std::initializer_list<std::string_view> known) const {
+  for (const auto& item : this->value->items()) {
+    if (std::ranges::find(known, item.key()) == known.end())
+      this->Report(ResultCode::kUnknownKey, item.key(), "unknown key");
+  }
+}
+
+bool ObjectView::Has(std::string_view key) const {
+  return this->Find(key) != nullptr;
+}
+
+std::string ObjectView::String(std::string_view key, bool required) const {
+  const json* found = this->Find(key);
+  if (found == nullptr) {
+    if (required)
+      this->Report(ResultCode::kMissingKey, key, "required key is missing");
+    return "";
+  }
+  if (!found->is_string()) {
+    this->Report(ResultCode::kWrongType, key, "expected a string");
+    return "";
+  }
+  if (required && found->get_ref<const std::string&>().empty())
+    this->Report(ResultCode::kOutOfRange, key, "must not be empty");
+  return found->get<std::string>();
+}
+
+bool ObjectView::Boolean(std::string_view key, bool fallback) const {
+  const json* found = this->Find(key);
+  if (found == nullptr)
+    return fallback;
+  if (!found->is_boolean()) {
+    this->Report(ResultCode::kWrongType, key, "expected true or false");
+    return fallback;
+  }
+  return found->get<bool>();
+}
+
+double ObjectView::Number(std::string_view key, double fallback) const {
+  const json* found = this->Find(key);
+  if (found == nullptr)
+    return fallback;
+  if (!found->is_number()) {
+    this->Report(ResultCode::kWrongType, key, "expected a number");
+    return fallback;
+  }
+  const double number = found->get<double>();
+  if (number < 0)
+    this->Report(ResultCode::kOutOfRange, key, "must not be negative");
+  return number;
+}
+
+std::uint64_t ObjectView::Integer(std::string_view key,
+                                  std::uint64_t fallback,
+                                  IntegerRange range) const {
+  const json* found = this->Find(key);
+  if (found == nullptr)
+    return fallback;
+  if (!found->is_number_integer()) {
+    this->Report(ResultCode::kWrongType, key, "expected a whole number");
+    return fallback;
+  }
+  const bool negative =
+      !found->is_number_unsigned() && found->get<std::int64_t>() < 0;
+  const std::uint64_t number = negative ? 0 : found->get<std::uint64_t>();
+  if (negative || number < range.least || number > range.most) {
+    this->Report(ResultCode::kOutOfRange, key,
+                 "must be from " + std::to_string(range.least) + " to " +
+                     std::to_string(range.most));
+    return fallback;
+  }
+  return number;
+}
+
+Milliseconds ObjectView::Time(std::string_view key,
+                              Milliseconds fallback) const {
+  constexpr std::uint64_t kDayMs = 86'400'000;
+  const auto count = static_cast<std::uint64_t>(fallback.count());
+  return Milliseconds(this->Integer(key, count, {.least = 1, .most = kDayMs}));
+}
+
+std::vector<std::string> ObjectView::Strings(std::string_view key) const {
+  const json* found = this->Find(key);
+  if (found == nullptr)
+    return {};
+  const bool all_strings =
+      found->is_array() &&
+      std::ranges::all_of(*found, [](const json& v) { return v.is_string(); });
+  if (!all_strings) {
+    this->Report(ResultCode::kWrongType, key, "expected an array of strings");
+    return {};
+  }
+  return found->get<std::vector<std::string>>();
+}
+
+std::vector<ObjectView> ObjectView::Objects(std::string_view key) const {
+  const json* found = this->Find(key);
+  if (found == nullptr)
+    return {};
+  if (!found->is_array()) {
+    this->Report(ResultCode::kWrongType, key, "expected an array");
+    return {};
+  }
+  std::vector<ObjectView> views;
+  for (const json& item : *found) {
+    views.emplace_back(
+        item, this->PointerTo(key) + "/" + std::to_string(views.size()),
+        *this->problems);
+  }
+  return views;
+}
+
+ObjectView ObjectView::Object(std::string_view key) const {
+  const json* found = this->Find(key);
+  return {found == nullptr ? EmptyObject() : *found, this->PointerTo(key),
+          *this->problems};
+}
+
+std::string ObjectView::PointerTo(std::string_view key) const {
+  json::json_pointer pointer;
+  pointer.push_back(std::string(key));
+  return this->place + pointer.to_string();
+}
+
+void ObjectView::Report(ResultCode code,
+                        std::string_view key,
+                        std::string detail) const {
+  this->problems->Add(code, this->PointerTo(key), std::move(detail));
+}
+
+const json* ObjectView::Find(std::string_view key) const {
+  const auto found = this->value->find(key);
+  return found == this->value->end() ? nullptr : &*found;
+}
+
+}  // namespace savoryring
--- /dev/null
+++ b/src/libbase/settings.cc
@@ -0,0 +1,182 @@
+#include "savoryring/settings.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+#include "libbase/json_checker.h"
+
+namespace savoryring {
+namespace {
+
+bool IsAddress(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos)
+    return false;
+  in_addr parsed{};
+  if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &parsed) != 1)
+    return false;
+  unsigned port = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, failure] =
+      std::from_chars(text.data() + colon + 1, end, port);
+  return failure == std::errc() && rest == end && port > 0 && port < 65536;
+}
+
+std::string Address(const ObjectView& view, std::string_view key) {
+  std::string text = view.String(key, true);
+  if (!text.empty() && !IsAddress(text))
+    view.Report(ResultCode::kOutOfRange, key, "expected IP:PORT");
+  return text;
+}
+
+DutyAddress ParseDuty(const ObjectView& view) {
+  view.AllowKeys({"http", "link"});
+  return {.http = Address(view, "http"), .link = Address(view, "link")};
+}
+
+EndpointSettings ParseEndpoint(const ObjectView& view) {
+  view.AllowKeys({"http", "link", "worker_url"});
+  EndpointSettings endpoint;
+  endpoint.address = {.http = Address(view, "http"),
+                      .link = Address(view, "link")};
+  endpoint.worker_url = view.String("worker_url", false);
+  return endpoint;
+}
+
+TimingSettings ParseTiming(const ObjectView& view) {
+  view.AllowKeys({"heartbeat_ms", "worker_lease_ms", "election_ms",
+                  "replica_heartbeat_ms", "drain_ms", "balancer_notice_ms",
+                  "acknowledge_ms"});
+  TimingSettings timing;
+  timing.heartbeat = view.Time("heartbeat_ms", timing.heartbeat);
+  timing.worker_lease = view.Time("worker_lease_ms", timing.worker_lease);
+  timing.election = view.Time("election_ms", timing.election);
+  timing.replica_heartbeat =
+      view.Time("replica_heartbeat_ms", timing.replica_heartbeat);
+  timing.drain = view.Time("drain_ms", timing.drain);
+  timing.balancer_notice =
+      view.Time("balancer_notice_ms", timing.balancer_notice);
+  timing.acknowledge = view.Time("acknowledge_ms", timing.acknowledge);
+  if (timing.worker_lease < 3 * timing.heartbeat) {
+    view.Report(ResultCode::kOutOfRange, "worker_lease_ms",
+                "must be at least three times heartbeat_ms");
+  }
+  if (timing.election < 3 * timing.replica_heartbeat) {
+    view.Report(ResultCode::kOutOfRange, "election_ms",
+                "must be at least three times replica_heartbeat_ms");
+  }
+  return timing;
+}
+
+LimitSettings ParseLimits(const ObjectView& view) {
+  view.AllowKeys({"body_bytes", "snapshot_after_entries", "queue_per_slot"});
+  constexpr std::uint64_t kMostBodyBytes = 64U << 20U;
+  LimitSettings limits;
+  limits.body_bytes = view.Integer("body_bytes", limits.body_bytes,
+                                   {.least = 1, .most = kMostBodyBytes});
+  limits.snapshot_after_entries = view.Integer(
+      "snapshot_after_entries", limits.snapshot_after_entries, {.least = 10});
+  limits.queue_per_slot = static_cast<std::uint32_t>(
+      view.Integer("queue_per_slot", limits.queue_per_slot, {.most = 1000}));
+  return limits;
+}
+
+LogSettings ParseLog(const ObjectView& view) {
+  view.AllowKeys({"level", "file"});
+  LogSettings log;
+  if (view.Has("level"))
+    log.level = view.String("level", true);
+  if (log.level != "debug" && log.level != "info" && log.level != "warning" &&
+      log.level != "error") {
+    view.Report(ResultCode::kOutOfRange, "level",
+                "must be debug, info, warning or error");
+  }
+  log.file = view.String("file", false);
+  return log;
+}
+
+void ParseDuties(const ObjectView& view, Settings& settings) {
+  const std::vector<std::string> duties = view.Strings("duties");
+  if (duties.empty())
+    view.Report(ResultCode::kMissingKey, "duties", "name at least one duty");
+  for (const std::string& duty : duties) {
+    if (duty == "entry") {
+      settings.entry = ParseDuty(view.Object("entry"));
+    } else if (duty == "control") {
+      settings.control = ParseDuty(view.Object("control"));
+    } else if (duty == "endpoint") {
+      settings.endpoint = ParseEndpoint(view.Object("endpoint"));
+    } else {
+      view.Report(ResultCode::kOutOfRange, "duties",
+                  "unknown duty " + duty +
+                      "; known are entry, control and endpoint");
+    }
+  }
+}
+
+void ParsePeers(const ObjectView& view, Settings& settings) {
+  settings.entries = view.Strings("entries");
+  for (const std::string& link : settings.entries) {
+    if (!IsAddress(link))
+      view.Report(ResultCode::kOutOfRange, "entries", "expected IP:PORT");
+  }
+  for (const ObjectView& peer : view.Objects("controls")) {
+    peer.AllowKeys({"id", "link"});
+    settings.controls.push_back(
+        {.id = peer.String("id", true), .link = Address(peer, "link")});
+  }
+  const std::size_t count = settings.controls.size();
+  if (count != 1 && count != 3 && count != 5)
+    view.Report(ResultCode::kOutOfRange, "controls", "list 1, 3 or 5 replicas");
+}
+
+void CheckControl(const ObjectView& view, const Settings& settings) {
+  if (!settings.control)
+    return;
+  if (settings.data_folder.empty())
+    view.Report(ResultCode::kMissingKey, "data_folder", "needed by control");
+  if (std::ranges::find(settings.controls, settings.id, &ControlPeer::id) ==
+      settings.controls.end()) {
+    view.Report(ResultCode::kDanglingDependency, "controls",
+                "this process has the control duty but is not listed");
+  }
+}
+
+}  // namespace
+
+Settings ParseSettings(std::string_view text) {
+  const nlohmann::json document = ParseJson(text);
+  ProblemList problems;
+  const ObjectView view(document, "", problems);
+  view.AllowKeys({"id", "availability_zone", "rack", "duties", "data_folder",
+                  "entry", "control", "endpoint", "entries", "controls",
+                  "timing", "limits", "log", "trace_file"});
+  Settings settings;
+  settings.id = view.String("id", true);
+  settings.availability_zone = view.String("availability_zone", true);
+  settings.rack = view.String("rack", false);
+  settings.data_folder = view.String("data_folder", false);
+  settings.trace_file = view.String("trace_file", false);
+  ParseDuties(view, settings);
+  ParsePeers(view, settings);
+  settings.timing = ParseTiming(view.Object("timing"));
+  settings.limits = ParseLimits(view.Object("limits"));
+  settings.log = ParseLog(view.Object("log"));
+  CheckControl(view, settings);
+  problems.ThrowIfAny();
+  return settings;
+}
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf()))
+    throw Error(ResultCode::kUnreadableFile, path);
+  return text.str();
+}
+
+}  // namespace savoryring
--- /dev/null
+++ b/src/libestate/estate.cc
@@ -0,0 +1,333 @@
+#include "savoryring/estate.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "libbase/json_checker.h"
+
+namespace savoryring {
+namespace {
+
+// Largest VM that an estate may ask for; a larger need is a typing error.
+constexpr std::uint64_t kMostProcessors = 4096;
+constexpr std::uint64_t kMostMemoryMb = 64ULL << 20U;
+constexpr std::uint64_t kMostAccelerators = 1024;
+constexpr std::uint64_t kMostQuota = UINT32_MAX;
+
+
+class EstateParser {
+ public:
+  explicit EstateParser(std::string_view text)
+      : document(ParseJson(text)), root(this->document, "", this->problems) {}
+
+  Estate Parse() {
+    this->root.AllowKeys({"services", "tasks", "task_classes", "monitors",
+                          "teams", "weights"});
+    this->ParseTeams();
+    this->ParseServices();
+    this->estate.tasks = this->ParseWork("tasks", WorkKind::kTask);
+    this->estate.task_classes =
+        this->ParseWork("task_classes", WorkKind::kClass);
+    this->estate.monitors = this->ParseWork("monitors", WorkKind::kMonitor);
+    this->ParseWeights();
+    this->CheckDependencies();
+    this->problems.ThrowIfAny();
+    return std::move(this->estate);
+  }
+
+ private:
+  enum class WorkKind { kTask, kClass, kMonitor };
+
+  std::string TakeName(const ObjectView& view) {
+    std::string name = view.String("name", true);
+    const bool valid = std::ranges::all_of(name, [](unsigned char c) {
+      return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+    });
+    if (!valid) {
+      view.Report(ResultCode::kOutOfRange, "name",
+                  "use letters, digits, '-', '_' and '.'");
+    }
+    return name;
+  }
+
+  void ParseTeams() {
+    for (const ObjectView& view : this->root.Objects("teams")) {
+      view.AllowKeys({"name", "quota"});
+      TeamSpec team;
+      team.name = this->TakeName(view);
+      const ObjectView quota = view.Object("quota");
+      quota.AllowKeys({"processors", "memory_mb", "accelerators"});
+      team.quota = this->ParseResources(quota, kMostQuota, kMostQuota, 0);
+      if (!this->team_names.insert(team.name).second)
+        view.Report(ResultCode::kDuplicateName, "name", team.name);
+      this->estate.teams.push_back(std::move(team));
+    }
+  }
+
+  Resources ParseResources(const ObjectView& view,
+                           std::uint64_t most_processors,
+                           std::uint64_t most_memory,
+                           std::uint64_t least) {
+    Resources size;
+    size.processors = static_cast<std::uint32_t>(view.Integer(
+        "processors", least, {.least = least, .most = most_processors}));
+    size.memory_mb = view.Integer("memory_mb", least,
+                                  {.least = least, .most = most_memory});
+    size.accelerators = static_cast<std::uint32_t>(
+        view.Integer("accelerators", 0, {.most = kMostAccelerators}));
+    return size;
+  }
+
+  void ParseServices() {
+    for (const ObjectView& view : this->root.Objects("services")) {
+      view.AllowKeys({"name", "timeout_ms", "tail_target_ms", "depends_on"});
+      ServiceSpec service;
+      service.name = this->TakeName(view);
+      service.timeout = view.Time("timeout_ms", service.timeout);
+      service.tail_target = view.Time("tail_target_ms", service.tail_target);
+      service.depends_on = view.Strings("depends_on");
+      this->AddName(service.name, view, service.depends_on);
+      this->estate.services.push_back(std::move(service));
+    }
+  }
+
+  std::vector<WorkSpec> ParseWork(std::string_view section, WorkKind kind) {
+    std::vector<WorkSpec> work;
+    for (const ObjectView& view : this->root.Objects(section))
+      work.push_back(this->ParseOneWork(view, kind));
+    return work;
+  }
+
+  WorkSpec ParseOneWork(const ObjectView& view, WorkKind kind) {
+    if (kind == WorkKind::kMonitor) {
+      view.AllowKeys({"name", "team", "processors", "memory_mb", "accelerators",
+                      "urgent", "command", "depends_on"});
+    } else {
+      view.AllowKeys({"name", "team", "processors", "memory_mb", "accelerators",
+                      "expected_run_ms", "repeatable", "urgent", "command",
+                      "depends_on"});
+    }
+    WorkSpec spec;
+    spec.name = this->TakeName(view);
+    spec.team = view.String("team", true);
+    spec.resources =
+        this->ParseResources(view, kMostProcessors, kMostMemoryMb, 1);
+    if (kind != WorkKind::kMonitor) {
+      spec.repeatable = view.Boolean("repeatable", false);
+      if (view.Has("expected_run_ms"))
+        spec.expected_run = view.Time("expected_run_ms", Milliseconds(1));
+    }
+    spec.urgent = view.Boolean("urgent", false);
+    spec.monitor = kind == WorkKind::kMonitor;
+    spec.command = view.String("command", true);
+    spec.depends_on = view.Strings("depends_on");
+    if (!spec.team.empty() && !this->team_names.contains(spec.team)) {
+      view.Report(ResultCode::kDanglingDependency, "team",
+                  "there is no team " + spec.team);
+    }
+    this->CheckAgainstQuota(view, spec);
+    if (kind == WorkKind::kClass) {
+      if (!this->class_names.insert(spec.name).second)
+        view.Report(ResultCode::kDuplicateName, "name", spec.name);
+    } else {
+      this->AddName(spec.name, view, spec.depends_on);
+    }
+    return spec;
+  }
+
+  void CheckAgainstQuota(const ObjectView& view, const WorkSpec& spec) {
+    const auto team =
+        std::ranges::find(this->estate.teams, spec.team, &TeamSpec::name);
+    if (team != this->estate.teams.end() && !spec.resources.FitsIn(team->quota))
+      view.Report(ResultCode::kImpossibleSize, "processors",
+                  "larger than the quota of team " + spec.team);
+  }
+
+  void AddName(const std::string& name,
+               const ObjectView& view,
+               const std::vector<std::string>& depends_on) {
+    const bool added =
+        this->names
+            .emplace(name, Node{.pointer = view.PointerTo("depends_on"),
+                                .depends_on = depends_on})
+            .second;
+    if (!added)
+      view.Report(ResultCode::kDuplicateName, "name", name);
+  }
+
+  void ParseWeights() {
+    const ObjectView view = this->root.Object("weights");
+    view.AllowKeys({"tail_latency", "throughput", "evictions"});
+    Weights& weights = this->estate.weights;
+    weights.tail_latency = view.Number("tail_latency", weights.tail_latency);
+    weights.throughput = view.Number("throughput", weights.throughput);
+    weights.evictions = view.Number("evictions", weights.evictions);
+  }
+
+  struct Node {
+    std::string pointer;
+    std::vector<std::string> depends_on;
+    enum class Visit { kNew, kOpen, kDone } visit = Visit::kNew;
+  };
+
+  void CheckDependencies() {
+    for (const auto& [name, node] : this->names)
+      this->CheckTargets(node);
+    for (const WorkSpec& work : this->estate.task_classes) {
+      this->CheckTargets({.pointer = "/task_classes/" + work.name,
+                          .depends_on = work.depends_on});
+    }
+    for (auto& [name, node] : this->names)
+      this->Visit(name, node);
+  }
+
+  void CheckTargets(const Node& node) {
+    for (const std::string& target : node.depends_on) {
+      if (!this->names.contains(target)) {
+        this->problems.Add(ResultCode::kDanglingDependency, node.pointer,
+                           "there is no " + target);
+      }
+    }
+  }
+
+  // Depth-first with an explicit stack: a text may chain many thousand tasks.
+  void Visit(const std::string& name, Node& start) {
+    struct Frame {
+      std::string name;
+      Node* node;
+      std::size_t next = 0;
+    };
+    if (start.visit != Node::Visit::kNew)
+      return;
+    std::vector<Frame> stack{{.name = name, .node = &start}};
+    start.visit = Node::Visit::kOpen;
+    while (!stack.empty()) {
+      Frame& frame = stack.back();
+      if (frame.next == frame.node->depends_on.size()) {
+        frame.node->visit = Node::Visit::kDone;
+        stack.pop_back();
+        continue;
+      }
+      const std::string& target = frame.node->depends_on[frame.next++];
+      const auto found = this->names.find(target);
+      if (found == this->names.end())
+        continue;
+      if (found->second.visit == Node::Visit::kOpen) {
+        this->problems.Add(ResultCode::kDependencyCycle, frame.node->pointer,
+                           frame.name + " and " + target +
+                               " depend on each other");
+      } else if (found->second.visit == Node::Visit::kNew) {
+        found->second.visit = Node::Visit::kOpen;
+        stack.push_back({.name = target, .node = &found->second});
+      }
+    }
+  }
+
+  nlohmann::json document;
+  ProblemList problems;
+  ObjectView root;
+  Estate estate;
+  std::map<std::string, Node> names;
+  std::set<std::string> team_names;
+  std::set<std::string> class_names;
+};
+
+using Described = std::map<std::string, std::string>;
+
+std::string DescribeWork(const WorkSpec& spec) {
+  const nlohmann::json description{
+      {"team", spec.team},
+      {"processors", spec.resources.processors},
+      {"memory_mb", spec.resources.memory_mb},
+      {"accelerators", spec.resources.accelerators},
+      {"expected_run_ms", spec.expected_run.count()},
+      {"repeatable", spec.repeatable},
+      {"urgent", spec.urgent},
+      {"command", spec.command},
+      {"depends_on", spec.depends_on}};
+  return description.dump();
+}
+
+Described DescribeEstate(const Estate& estate) {
+  Described items;
+  for (const ServiceSpec& service : estate.services) {
+    items["service " + service.name] =
+        nlohmann::json{{"timeout_ms", service.timeout.count()},
+                       {"tail_target_ms", service.tail_target.count()},
+                       {"depends_on", service.depends_on}}
+            .dump();
+  }
+  for (const WorkSpec& work : estate.tasks)
+    items["task " + work.name] = DescribeWork(work);
+  for (const WorkSpec& work : estate.task_classes)
+    items["task class " + work.name] = DescribeWork(work);
+  for (const WorkSpec& work : estate.monitors)
+    items["monitor " + work.name] = DescribeWork(work);
+  for (const TeamSpec& team : estate.teams) {
+    items["team " + team.name] =
+        nlohmann::json{team.quota.processors, team.quota.memory_mb,
+                       team.quota.accelerators}
+            .dump();
+  }
+  items["weights"] = nlohmann::json{estate.weights.tail_latency,
+                                    estate.weights.throughput,
+                                    estate.weights.evictions}
+                         .dump();
+  return items;
+}
+
+}  // namespace
+
+bool Resources::FitsIn(const Resources& other) const {
+  return this->processors <= other.processors &&
+         this->memory_mb <= other.memory_mb &&
+         this->accelerators <= other.accelerators;
+}
+
+Resources& Resources::operator+=(const Resources& other) {
+  this->processors += other.processors;
+  this->memory_mb += other.memory_mb;
+  this->accelerators += other.accelerators;
+  return *this;
+}
+
+Resources& Resources::operator-=(const Resources& other) {
+  this->processors -= other.processors;
+  this->memory_mb -= other.memory_mb;
+  this->accelerators -= other.accelerators;
+  return *this;
+}
+
+Estate ParseEstate(std::string_view text) {
+  return EstateParser(text).Parse();
+}
+
+std::map<std::string, std::string> CanonicalSections(std::string_view text) {
+  const nlohmann::json document = ParseJson(text);
+  std::map<std::string, std::string> sections;
+  for (const auto& item : document.items())
+    sections[item.key()] = item.value().dump();
+  return sections;
+}
+
+std::vector<std::string> DescribeDifference(const Estate& before,
+                                            const Estate& after) {
+  const Described old_items = DescribeEstate(before);
+  const Described new_items = DescribeEstate(after);
+  std::vector<std::string> lines;
+  for (const auto& [name, text] : old_items) {
+    const auto found = new_items.find(name);
+    if (found == new_items.end())
+      lines.push_back("- " + name);
+    else if (found->second != text)
+      lines.push_back("~ " + name);
+  }
+  for (const auto& [name, text] : new_items) {
+    if (!old_items.contains(name))
+      lines.push_back("+ " + name);
+  }
+  return lines;
+}
+
+}  // namespace savoryring
--- /dev/null
+++ b/src/libmembership/directory.cc
@@ -0,0 +1,63 @@
+#include "libmembership/directory.h"
+
+namespace savoryring {
+namespace {
+
+// How long a silent endpoint is remembered, so that an old announcement that
+// arrives late is still seen to be old.
+constexpr Milliseconds kRememberSilent{30'000};
+
+}  // namespace
+
+bool EndpointRecord::Serves(const std::string& service, TimePoint now) const {
+  if (now >= this->valid_until)
+    return false;
+  const auto found = this->services.find(service);
+  return found != this->services.end() && found->second.serving;
+}
+
+DirectoryChange Directory::Apply(
+    const std::string& sender,
+    std::uint64_t incarnation,
+    const wire::EndpointAnnouncement& announcement,
+    TimePoint now) {
+  EndpointRecord& record = this->records[sender];
+  const bool appeared = record.id.empty();
+  const bool replaced = !appeared && record.incarnation != incarnation;
+  if (!appeared && !replaced && announcement.sequence() <= record.sequence)
+    return DirectoryChange::kNone;
+  record.id = sender;
+  record.incarnation = incarnation;
+  record.link = announcement.link();
+  record.availability_zone = announcement.availability_zone();
+  record.sequence = announcement.sequence();
+  record.valid_until = now + Milliseconds(announcement.valid_ms());
+  record.services.clear();
+  for (const wire::ServiceAnnouncement& service : announcement.services()) {
+    record.services[service.service()] = {.slots = service.slots(),
+                                          .running = service.running(),
+                                          .queued = service.queued(),
+                                          .serving = service.serving()};
+  }
+  if (appeared)
+    return DirectoryChange::kAppeared;
+  return replaced ? DirectoryChange::kReplaced : DirectoryChange::kNone;
+}
+
+std::vector<std::string> Directory::RemoveSilent(TimePoint now) {
+  std::vector<std::string> removed;
+  for (const auto& [id, record] : this->records) {
+    if (now >= record.valid_until + kRememberSilent)
+      removed.push_back(id);
+  }
+  for (const std::string& id : removed)
+    this->records.erase(id);
+  return removed;
+}
+
+const EndpointRecord* Directory::Find(const std::string& id) const {
+  const auto found = this->records.find(id);
+  return found == this->records.end() ? nullptr : &found->second;
+}
+
+}  // namespace savoryring
--- /dev/null
+++ b/src/libplacement/control_state.cc
@@ -0,0 +1,759 @@
+#include "libplacement/control_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace savoryring {
+namespace {
+
+// Steps kept of each task for `explain`; the oldest go first.
+constexpr int kMostSteps = 24;
+// Distinct workers on which a task may fail before it is parked.
+constexpr int kMostFailedWorkers = 3;
+// Distinct tasks that may fail on a worker, none ending well between them,
+// before it is quarantined.
+constexpr int kMostFailedTasks = 4;
+// Submitted tasks that are kept after their end.
+constexpr std::size_t kMostEndedTasks = 50'000;
+
+Resources ToResources(const wire::WorkerDescription& description) {
+  return {.processors = description.processors(),
+          .memory_mb = description.memory_mb(),
+          .accelerators = description.accelerators()};
+}
+
+bool SameSpec(const wire::TaskSpec& a, const wire::TaskSpec& b) {
+  return a.SerializeAsString() == b.SerializeAsString();
+}
+
+// A change of these needs a stop; what else changed is taken up in place.
+bool NeedsRestart(const wire::TaskSpec& a, const wire::TaskSpec& b) {
+  return !(ResourcesOf(a) == ResourcesOf(b)) || a.command() != b.command() ||
+         a.monitor() != b.monitor();
+}
+
+std::string NameOfCause(wire::StopCause cause) {
+  switch (cause) {
+    case wire::STOP_CAUSE_CANCELLED:
+      return "cancelled";
+    case wire::STOP_CAUSE_REMOVED:
+      return "removed from the estate";
+    case wire::STOP_CAUSE_CHANGED:
+      return "changed in the estate";
+    case wire::STOP_CAUSE_EVICTED:
+      return "evicted";
+    case wire::STOP_CAUSE_DRAINED:
+      return "its worker is drained";
+    default:
+      return "unknown";
+  }
+}
+
+bool MayRunTwice(const wire::TaskSpec& spec) {
+  return spec.repeatable() || spec.monitor();
+}
+
+PendingKey PendingKeyOf(const wire::TaskRecord& task) {
+  return {.relaxed = !task.spec().urgent(),
+          .sequence = task.sequence(),
+          .task = task.id()};
+}
+
+bool IsFinalStop(wire::StopCause cause) {
+  return cause == wire::STOP_CAUSE_CANCELLED ||
+         cause == wire::STOP_CAUSE_REMOVED;
+}
+
+}  // namespace
+
+bool IsEnded(wire::TaskState state) {
+  return state == wire::TASK_STATE_FINISHED ||
+         state == wire::TASK_STATE_CANCELLED ||
+         state == wire::TASK_STATE_OUTCOME_UNKNOWN;
+}
+
+bool HoldsWorker(wire::TaskState state) {
+  return state == wire::TASK_STATE_ASSIGNED ||
+         state == wire::TASK_STATE_STOPPING;
+}
+
+Resources ResourcesOf(const wire::TaskSpec& spec) {
+  return {.processors = spec.processors(),
+          .memory_mb = spec.memory_mb(),
+          .accelerators = spec.accelerators()};
+}
+
+wire::TaskSpec ToTaskSpec(const WorkSpec& spec) {
+  wire::TaskSpec task;
+  task.set_name(spec.name);
+  task.set_team(spec.team);
+  task.set_processors(spec.resources.processors);
+  task.set_memory_mb(spec.resources.memory_mb);
+  task.set_accelerators(spec.resources.accelerators);
+  task.set_expected_run_ms(
+      static_cast<std::uint32_t>(spec.expected_run.count()));
+  task.set_repeatable(spec.repeatable);
+  task.set_urgent(spec.urgent);
+  task.set_monitor(spec.monitor);
+  task.set_command(spec.command);
+  for (const std::string& target : spec.depends_on)
+    task.add_depends_on(target);
+  return task;
+}
+
+std::string NameOf(wire::TaskState state) {
+  switch (state) {
+    case wire::TASK_STATE_PENDING:
+      return "pending";
+    case wire::TASK_STATE_ASSIGNED:
+      return "assigned";
+    case wire::TASK_STATE_STOPPING:
+      return "stopping";
+    case wire::TASK_STATE_FINISHED:
+      return "finished";
+    case wire::TASK_STATE_CANCELLED:
+      return "cancelled";
+    case wire::TASK_STATE_PARKED:
+      return "parked";
+    case wire::TASK_STATE_OUTCOME_UNKNOWN:
+      return "outcome-unknown";
+    default:
+      return "unknown";
+  }
+}
+
+ControlState::ControlState(ControlMutations mutations) : mutations(mutations) {}
+
+ApplyResult ControlState::Apply(const wire::Command& command,
+                                std::uint64_t index) {
+  this->index = index;
+  switch (command.body_case()) {
+    case wire::Command::kSubmitEstate:
+      return this->ApplySubmitEstate(command.submit_estate());
+    case wire::Command::kRegisterWorker:
+      return this->ApplyRegisterWorker(command.register_worker());
+    case wire::Command::kLoseWorker:
+      return this->ApplyLoseWorker(command.lose_worker());
+    case wire::Command::kSubmitTask:
+      return this->ApplySubmitTask(command.submit_task());
+    case wire::Command::kCancelTask:
+      return this->ApplyCancelTask(command.cancel_task());
+    case wire::Command::kAssignTasks:
+      return this->ApplyAssignTasks(command.assign_tasks());
+    case wire::Command::kStopTasks:
+      return this->ApplyStopTasks(command.stop_tasks());
+    case wire::Command::kThrottleTask:
+      return this->ApplyThrottleTask(command.throttle_task());
+    case wire::Command::kReportTasks:
+      return this->ApplyReportTasks(command.report_tasks());
+    case wire::Command::kParkTask:
+      return this->ApplyParkTask(command.park_task());
+    case wire::Command::kDrainWorker:
+      return this->ApplyDrainWorker(command.drain_worker());
+    case wire::Command::kClaimKey:
+      return {.claim = this->claim_table.Claim(command.claim_key().claim())};
+    case wire::Command::kSettleClaim:
+      this->claim_table.Settle(command.settle_claim().claim());
+      return {};
+    case wire::Command::BODY_NOT_SET:
+      return {};
+  }
+  return {};
+}
+
+// --- The estate ---
+
+ApplyResult ControlState::ApplySubmitEstate(
+    const wire::SubmitEstate& command) {
+  const std::uint64_t before = this->estate_state.revision();
+  const ResultCode code =
+      this->estate_state.Apply({.version = command.version(),
+                                .request_id = command.request_id(),
+                                .text = command.text()});
+  if (this->estate_state.revision() != before)
+    this->FollowEstate();
+  return {.code = code};
+}
+
+void ControlState::FollowEstate() {
+  const Estate& estate = this->estate_state.estate();
+  std::set<std::string> wanted;
+  for (const WorkSpec& spec : estate.tasks)
+    this->FollowWork(spec, wanted);
+  for (const WorkSpec& spec : estate.monitors)
+    this->FollowWork(spec, wanted);
+  for (auto& [id, task] : this->task_records) {
+    if (!task.from_estate() || wanted.contains(id))
+      continue;
+    if (!IsEnded(task.state())) {
+      this->BeginStop(task, wire::STOP_CAUSE_REMOVED,
+                      "revision " +
+                          std::to_string(this->estate_state.revision()));
+    }
+  }
+  // Ended work that must not be done twice is remembered: its name may come
+  // back with a text that was written before it was removed.
+  std::erase_if(this->task_records, [&wanted](const auto& item) {
+    const wire::TaskRecord& task = item.second;
+    return task.from_estate() && !wanted.contains(item.first) &&
+           IsEnded(task.state()) && MayRunTwice(task.spec());
+  });
+}
+
+void ControlState::FollowWork(const WorkSpec& spec,
+                              std::set<std::string>& wanted) {
+  const wire::TaskSpec wanted_spec = ToTaskSpec(spec);
+  wanted.insert(spec.name);
+  const auto found = this->task_records.find(spec.name);
+  if (found == this->task_records.end()) {
+    this->NewTask(spec.name, wanted_spec).set_from_estate(true);
+    return;
+  }
+  wire::TaskRecord& task = found->second;
+  const bool removed = task.stop_cause() == wire::STOP_CAUSE_REMOVED &&
+                       task.state() == wire::TASK_STATE_STOPPING;
+  if (removed) {
+    // Taken back into the text while it was being stopped: it goes on from
+    // its checkpoint once the stop is confirmed.
+    task.set_stop_cause(wire::STOP_CAUSE_CHANGED);
+    *task.mutable_next_spec() = wanted_spec;
+    return;
+  }
+  if (task.state() == wire::TASK_STATE_CANCELLED &&
+      task.stop_cause() == wire::STOP_CAUSE_REMOVED) {
+    *task.mutable_spec() = wanted_spec;
+    this->ReviveForNewRevision(task);
+    return;
+  }
+  const wire::TaskSpec& current =
+      task.has_next_spec() ? task.next_spec() : task.spec();
+  if (SameSpec(current, wanted_spec))
+    return;
+  if (HoldsWorker(task.state())) {
+    if (!NeedsRestart(task.spec(), wanted_spec) &&
+        task.state() == wire::TASK_STATE_ASSIGNED) {
+      this->team_use[task.spec().team()] -= ResourcesOf(task.spec());
+      *task.mutable_spec() = wanted_spec;
+      this->team_use[task.spec().team()] += ResourcesOf(task.spec());
+      return;
+    }
+    *task.mutable_next_spec() = wanted_spec;
+    this->BeginStop(task, wire::STOP_CAUSE_CHANGED,
+                    "revision " +
+                        std::to_string(this->estate_state.revision()));
+    return;
+  }
+  const bool restart = NeedsRestart(task.spec(), wanted_spec) ||
+                       task.state() == wire::TASK_STATE_PARKED;
+  this->pending_tasks.erase(PendingKeyOf(task));
+  *task.mutable_spec() = wanted_spec;
+  // Work that must not be done twice is not begun again under its old name,
+  // whatever its new text says.
+  const bool done_for_good =
+      IsEnded(task.state()) && !MayRunTwice(task.spec());
+  if (restart && !done_for_good)
+    this->ReviveForNewRevision(task);
+  else
+    this->SetState(task, task.state());
+}
+
+// A task whose text changed runs as the new text says, also where the old one
+// had ended; one that never could run gets another try.
+void ControlState::ReviveForNewRevision(wire::TaskRecord& task) {
+  task.clear_failed_workers();
+  task.clear_parked_why();
+  if (task.state() == wire::TASK_STATE_FINISHED)
+    task.clear_checkpoint();
+  this->SetState(task, wire::TASK_STATE_PENDING);
+  this->AddStep(task, "pending",
+                "changed in revision " +
+                    std::to_string(this->estate_state.revision()));
+}
+
+// --- Workers ---
+
+ApplyResult ControlState::ApplyRegisterWorker(
+    const wire::RegisterWorker& command) {
+  const std::string& id = command.description().id();
+  WorkerState& worker = this->worker_states[id];
+  const bool same_process =
+      worker.record.incarnation() == command.incarnation() &&
+      !worker.record.lost();
+  *worker.record.mutable_description() = command.description();
+  worker.capacity = ToResources(command.description());
+  worker.record.set_incarnation(command.incarnation());
+  worker.record.set_lost(false);
+  if (!same_process)
+    this->BumpOrders(id);
+  this->ReviveParked(worker.capacity);
+  return {};
+}
+
+// A task that fitted no worker gets another try when one joins that it fits.
+void ControlState::ReviveParked(const Resources& capacity) {
+  const std::set<std::string> parked = this->parked_tasks;
+  for (const std::string& id : parked) {
+    wire::TaskRecord& task = this->task_records.at(id);
+    const bool failed = task.failed_workers_size() >= kMostFailedWorkers;
+    if (failed || !ResourcesOf(task.spec()).FitsIn(capacity))
+      continue;
+    task.clear_parked_why();
+    this->SetState(task, wire::TASK_STATE_PENDING);
+    this->AddStep(task, "pending", "a worker joined that it fits");
+  }
+}
+
+ApplyResult ControlState::ApplyLoseWorker(const wire::LoseWorker& command) {
+  const auto found = this->worker_states.find(command.worker());
+  const bool stale =
+      found == this->worker_states.end() || found->second.record.lost() ||
+      found->second.record.incarnation() != command.incarnation();
+  if (stale)
+    return {.code = ResultCode::kUnknownWorker};
+  found->second.record.set_lost(true);
+  const std::set<std::string> tasks = found->second.tasks;
+  for (const std::string& task : tasks)
+    this->LoseTask(this->task_records.at(task));
+  this->BumpOrders(command.worker());
+  return {};
+}
+
+// The lease of the worker has surely ended, so the task runs nowhere. What it
+// did since its checkpoint is lost; work that must not be done twice only goes
+// on from a checkpoint.
+void ControlState::LoseTask(wire::TaskRecord& task) {
+  const std::string lost = task.worker();
+  const bool final_stop = task.state() == wire::TASK_STATE_STOPPING &&
+                          IsFinalStop(task.stop_cause());
+  this->LeaveWorker(task);
+  if (final_stop) {
+    this->SetState(task, wire::TASK_STATE_CANCELLED);
+    this->AddStep(task, "cancelled", lost + " lost it while it was stopped");
+    return;
+  }
+  const bool may_run_again =
+      MayRunTwice(task.spec()) || !task.checkpoint().empty();
+  if (!may_run_again) {
+    this->SetState(task, wire::TASK_STATE_OUTCOME_UNKNOWN);
+    this->AddStep(task, "outcome unknown",
+                  lost + " was lost or lost the task; it is not repeatable "
+                         "and has no checkpoint");
+    return;
+  }
+  if (task.has_next_spec()) {
+    *task.mutable_spec() = task.next_spec();
+    task.clear_next_spec();
+  }
+  this->SetState(task, wire::TASK_STATE_PENDING);
+  this->AddStep(task, "pending", lost + " was lost or lost the task");
+}
+
+ApplyResult ControlState::ApplyDrainWorker(const wire::DrainWorker& command) {
+  const auto found = this->worker_states.find(command.worker());
+  if (found == this->worker_states.end())
+    return {.code = ResultCode::kUnknownWorker};
+  found->second.record.set_draining(command.draining());
+  if (command.draining()) {
+    const std::set<std::string> tasks = found->second.tasks;
+    for (const std::string& task : tasks) {
+      this->BeginStop(this->task_records.at(task), wire::STOP_CAUSE_DRAINED,
+                      "worker " + command.worker());
+    }
+  } else {
+    found->second.record.set_quarantined(false);
+    found->second.record.clear_failed_tasks();
+  }
+  return {};
+}
+
+// --- Tasks ---
+
+ApplyResult ControlState::ApplySubmitTask(const wire::SubmitTask& command) {
+  if (!command.key().empty()) {
+    const auto known = this->task_of_key.find(command.key());
+    if (known != this->task_of_key.end())
+      return {.task = known->second};
+  }
+  const std::string id = "task-" + std::to_string(this->index);
+  this->NewTask(id, command.spec()).set_key(command.key());
+  if (!command.key().empty())
+    this->task_of_key[command.key()] = id;
+  return {.task = id};
+}
+
+ApplyResult ControlState::ApplyCancelTask(const wire::CancelTask& command) {
+  const auto found = this->task_records.find(command.task());
+  if (found == this->task_records.end())
+    return {.code = ResultCode::kUnknownTask, .task = command.task()};
+  if (!IsEnded(found->second.state())) {
+    this->BeginStop(found->second, wire::STOP_CAUSE_CANCELLED,
+                    "asked by a caller");
+  }
+  return {.task = command.task()};
+}
+
+ApplyResult ControlState::ApplyAssignTasks(const wire::AssignTasks& command) {
+  for (const wire::Assignment& assignment : command.assignments())
+    this->Assign(assignment);
+  return {};
+}
+
+// The scheduler decided on an earlier state; here is where it must still hold.
+void ControlState::Assign(const wire::Assignment& assignment) {
+  const auto found = this->task_records.find(assignment.task());
+  const auto place = this->worker_states.find(assignment.worker());
+  if (found == this->task_records.end() || place == this->worker_states.end())
+    return;
+  wire::TaskRecord& task = found->second;
+  WorkerState& worker = place->second;
+  const bool stands =
+      task.state() == wire::TASK_STATE_PENDING &&
+      task.epoch() + 1 == assignment.epoch() && !worker.record.lost() &&
+      !worker.record.draining() &&
+      worker.record.incarnation() == assignment.worker_incarnation();
+  if (!stands)
+    return;
+  Resources sum = worker.committed;
+  sum += ResourcesOf(task.spec());
+  if (!sum.FitsIn(worker.capacity) && !this->mutations.skip_capacity_check)
+    return;
+  task.set_epoch(assignment.epoch());
+  task.set_worker(assignment.worker());
+  task.set_worker_incarnation(assignment.worker_incarnation());
+  task.set_share(1);
+  worker.committed = sum;
+  worker.tasks.insert(task.id());
+  this->team_use[task.spec().team()] += ResourcesOf(task.spec());
+  this->SetState(task, wire::TASK_STATE_ASSIGNED);
+  this->AddStep(task, "assigned", assignment.why());
+  this->BumpOrders(assignment.worker());
+}
+
+ApplyResult ControlState::ApplyStopTasks(const wire::StopTasks& command) {
+  for (const std::string& id : command.tasks()) {
+    const auto found = this->task_records.find(id);
+    if (found == this->task_records.end() ||
+        found->second.state() != wire::TASK_STATE_ASSIGNED)
+      continue;
+    if (command.cause() == wire::STOP_CAUSE_EVICTED)
+      found->second.set_evictions(found->second.evictions() + 1);
+    this->BeginStop(found->second, command.cause(), command.why());
+  }
+  return {};
+}
+
+ApplyResult ControlState::ApplyThrottleTask(const wire::ThrottleTask& command) {
+  const auto found = this->task_records.find(command.task());
+  if (found == this->task_records.end() ||
+      found->second.state() != wire::TASK_STATE_ASSIGNED ||
+      found->second.epoch() != command.epoch())
+    return {.code = ResultCode::kUnknownTask};
+  found->second.set_share(command.share());
+  this->AddStep(found->second, command.share() < 1 ? "throttled" : "released",
+                command.why());
+  this->BumpOrders(found->second.worker());
+  return {};
+}
+
+ApplyResult ControlState::ApplyReportTasks(const wire::ReportTasks& command) {
+  for (const wire::TaskReport& report : command.reports())
+    this->TakeReport(command.worker(), report);
+  return {};
+}
+
+void ControlState::TakeReport(const std::string& worker,
+                              const wire::TaskReport& report) {
+  const auto found = this->task_records.find(report.task());
+  if (found == this->task_records.end())
+    return;
+  wire::TaskRecord& task = found->second;
+  const bool current = HoldsWorker(task.state()) && task.worker() == worker &&
+                       task.epoch() == report.epoch();
+  if (!current && !this->mutations.ignore_epochs)
+    return;
+  if (!report.checkpoint().empty())
+    task.set_checkpoint(report.checkpoint());
+  if (report.state() == wire::TASK_RUNNING)
+    return;
+  if (report.state() == wire::TASK_LOST) {
+    this->LoseTask(task);
+    return;
+  }
+  this->LeaveWorker(task);
+  WorkerState& place = this->worker_states[worker];
+  switch (report.state()) {
+    case wire::TASK_FINISHED:
+      place.record.clear_failed_tasks();
+      place.record.set_quarantined(false);
+      if (task.spec().monitor() &&
+          !(IsFinalStop(task.stop_cause()))) {
+        this->SetState(task, wire::TASK_STATE_PENDING);
+        this->AddStep(task, "pending", "a monitor that ended is started again");
+        return;
+      }
+      this->SetState(task, wire::TASK_STATE_FINISHED);
+      this->AddStep(task, "finished", "on worker " + worker);
+      return;
+    case wire::TASK_FAILED: {
+      auto* failed = place.record.mutable_failed_tasks();
+      if (std::ranges::find(*failed, task.id()) == failed->end())
+        *failed->Add() = task.id();
+      if (failed->size() >= kMostFailedTasks)
+        place.record.set_quarantined(true);
+      if (std::ranges::find(task.failed_workers(), worker) ==
+          task.failed_workers().end())
+        task.add_failed_workers(worker);
+      this->TakeFailure(task);
+      return;
+    }
+    default:
+      this->TakeStopped(task);
+      return;
+  }
+}
+
+void ControlState::TakeFailure(wire::TaskRecord& task) {
+  if (IsFinalStop(task.stop_cause())) {
+    this->TakeStopped(task);
+    return;
+  }
+  if (task.failed_workers_size() >= kMostFailedWorkers &&
+      !task.spec().monitor()) {
+    task.set_parked_why("it failed on " +
+                        std::to_string(task.failed_workers_size()) +
+                        " different workers");
+    this->SetState(task, wire::TASK_STATE_PARKED);
+    this->AddStep(task, "parked", task.parked_why());
+    return;
+  }
+  this->SetState(task, wire::TASK_STATE_PENDING);
+  this->AddStep(task, "pending", "it failed on its worker");
+}
+
+void ControlState::TakeStopped(wire::TaskRecord& task) {
+  const wire::StopCause cause = task.stop_cause();
+  if (IsFinalStop(cause)) {
+    this->SetState(task, wire::TASK_STATE_CANCELLED);
+    this->AddStep(task, "cancelled", NameOfCause(cause));
+    return;
+  }
+  if (task.has_next_spec()) {
+    *task.mutable_spec() = task.next_spec();
+    task.clear_next_spec();
+  }
+  this->SetState(task, wire::TASK_STATE_PENDING);
+  this->AddStep(task, "pending",
+                task.checkpoint().empty()
+                    ? "stopped without a checkpoint"
+                    : "resumes from checkpoint " + task.checkpoint());
+}
+
+ApplyResult ControlState::ApplyParkTask(const wire::ParkTask& command) {
+  const auto found = this->task_records.find(command.task());
+  if (found == this->task_records.end() ||
+      found->second.state() != wire::TASK_STATE_PENDING)
+    return {.code = ResultCode::kUnknownTask};
+  found->second.set_parked_why(command.why());
+  this->SetState(found->second, wire::TASK_STATE_PARKED);
+  this->AddStep(found->second, "parked", command.why());
+  return {};
+}
+
+void ControlState::BeginStop(wire::TaskRecord& task,
+                             wire::StopCause cause,
+                             const std::string& why) {
+  if (!HoldsWorker(task.state())) {
+    if (IsFinalStop(cause)) {
+      task.set_stop_cause(cause);
+      this->SetState(task, wire::TASK_STATE_CANCELLED);
+      this->AddStep(task, "cancelled", NameOfCause(cause) + ": " + why);
+    }
+    return;
+  }
+  // A stop for good is never weakened into one after which the task resumes.
+  const bool weaker = task.state() == wire::TASK_STATE_STOPPING &&
+                      IsFinalStop(task.stop_cause()) && !IsFinalStop(cause);
+  if (weaker)
+    return;
+  task.set_stop_cause(cause);
+  this->SetState(task, wire::TASK_STATE_STOPPING);
+  this->AddStep(task, "stopping", NameOfCause(cause) + ": " + why);
+  this->BumpOrders(task.worker());
+}
+
+// --- Records and the indexes over them ---
+
+wire::TaskRecord& ControlState::NewTask(const std::string& id,
+                                        const wire::TaskSpec& spec) {
+  wire::TaskRecord& task = this->task_records[id];
+  task.set_id(id);
+  *task.mutable_spec() = spec;
+  task.set_sequence(this->next_sequence++);
+  task.set_share(1);
+  this->SetState(task, wire::TASK_STATE_PENDING);
+  this->AddStep(task, "pending", "accepted");
+  return task;
+}
+
+void ControlState::SetState(wire::TaskRecord& task, wire::TaskState state) {
+  const PendingKey key = PendingKeyOf(task);
+  task.set_state(state);
+  const bool keeps_cause = state == wire::TASK_STATE_STOPPING ||
+                           state == wire::TASK_STATE_CANCELLED;
+  if (!keeps_cause)
+    task.set_stop_cause(wire::STOP_CAUSE_UNSPECIFIED);
+  if (state == wire::TASK_STATE_PARKED)
+    this->parked_tasks.insert(task.id());
+  else
+    this->parked_tasks.erase(task.id());
+  if (state == wire::TASK_STATE_PENDING)
+    this->pending_tasks.insert(key);
+  else
+    this->pending_tasks.erase(key);
+  if (IsEnded(state) && !task.from_estate()) {
+    this->ended_tasks[task.sequence()] = task.id();
+    this->ForgetOldTasks();
+  }
+}
+
+void ControlState::ForgetOldTasks() {
+  if (this->ended_tasks.size() <= kMostEndedTasks)
+    return;
+  // The newest ended task may be the one that is being worked on; the oldest
+  // is not, as the limit is far above one.
+  const std::string oldest = this->ended_tasks.begin()->second;
+  this->ended_tasks.erase(this->ended_tasks.begin());
+  const auto found = this->task_records.find(oldest);
+  this->task_of_key.erase(found->second.key());
+  this->task_records.erase(found);
+}
+
+void ControlState::LeaveWorker(wire::TaskRecord& task) {
+  const auto found = this->worker_states.find(task.worker());
+  if (found != this->worker_states.end() &&
+      found->second.tasks.erase(task.id()) > 0) {
+    found->second.committed -= ResourcesOf(task.spec());
+    this->team_use[task.spec().team()] -= ResourcesOf(task.spec());
+    this->BumpOrders(task.worker());
+  }
+  task.clear_worker();
+}
+
+void ControlState::AddStep(wire::TaskRecord& task,
+                           const std::string& what,
+                           const std::string& why) {
+  if (task.steps_size() >= kMostSteps)
+    task.mutable_steps()->DeleteSubrange(1, 1);
+  wire::TaskStep* step = task.add_steps();
+  step->set_index(this->index);
+  step->set_what(what);
+  step->set_worker(task.worker());
+  step->set_epoch(task.epoch());
+  step->set_why(why);
+}
+
+void ControlState::BumpOrders(const std::string& worker) {
+  const auto found = this->worker_states.find(worker);
+  if (found != this->worker_states.end())
+    found->second.record.set_orders_version(this->index);
+}
+
+const wire::TaskRecord* ControlState::FindTask(const std::string& id) const {
+  const auto found = this->task_records.find(id);
+  return found == this->task_records.end() ? nullptr : &found->second;
+}
+
+const WorkerState* ControlState::FindWorker(const std::string& id) const {
+  const auto found = this->worker_states.find(id);
+  return found == this->worker_states.end() ? nullptr : &found->second;
+}
+
+Resources ControlState::TeamUse(const std::string& team) const {
+  const auto found = this->team_use.find(team);
+  return found == this->team_use.end() ? Resources{} : found->second;
+}
+
+std::vector<wire::TaskOrder> ControlState::OrdersFor(
+    const std::string& worker) const {
+  std::vector<wire::TaskOrder> orders;
+  const WorkerState* state = this->FindWorker(worker);
+  if (state == nullptr)
+    return orders;
+  for (const std::string& id : state->tasks) {
+    const wire::TaskRecord& task = this->task_records.at(id);
+    wire::TaskOrder& order = orders.emplace_back();
+    order.set_task(id);
+    order.set_epoch(task.epoch());
+    order.set_run(task.state() == wire::TASK_STATE_ASSIGNED);
+    order.set_processors(task.spec().processors());
+    order.set_memory_mb(task.spec().memory_mb());
+    order.set_accelerators(task.spec().accelerators());
+    order.set_command(task.spec().command());
+    order.set_checkpoint(task.checkpoint());
+    order.set_share(task.share());
+    order.set_assigned_incarnation(task.worker_incarnation());
+  }
+  return orders;
+}
+
+wire::ControlSnapshot ControlState::Save() const {
+  wire::ControlSnapshot snapshot;
+  *snapshot.mutable_estate() = this->estate_state.Save();
+  for (const auto& [id, task] : this->task_records)
+    *snapshot.add_tasks() = task;
+  for (const auto& [id, worker] : this->worker_states)
+    *snapshot.add_workers() = worker.record;
+  for (const auto& [key, claim] : this->claim_table.claims())
+    *snapshot.add_claims() = claim;
+  for (const auto& [key, task] : this->task_of_key) {
+    wire::KeyedTask* keyed = snapshot.add_keyed_tasks();
+    keyed->set_key(key);
+    keyed->set_task(task);
+  }
+  snapshot.set_next_sequence(this->next_sequence);
+  return snapshot;
+}
+
+void ControlState::Restore(const wire::ControlSnapshot& snapshot) {
+  this->estate_state.Restore(snapshot.estate());
+  this->task_records.clear();
+  for (const wire::TaskRecord& task : snapshot.tasks())
+    this->task_records[task.id()] = task;
+  this->worker_states.clear();
+  for (const wire::WorkerRecord& worker : snapshot.workers())
+    this->worker_states[worker.description().id()].record = worker;
+  this->claim_table.Clear();
+  for (const wire::ClaimRecord& claim : snapshot.claims())
+    this->claim_table.Restore(claim);
+  this->task_of_key.clear();
+  for (const wire::KeyedTask& keyed : snapshot.keyed_tasks())
+    this->task_of_key[keyed.key()] = keyed.task();
+  this->next_sequence = snapshot.next_sequence();
+  this->RebuildIndexes();
+}
+
+void ControlState::RebuildIndexes() {
+  this->pending_tasks.clear();
+  this->parked_tasks.clear();
+  this->team_use.clear();
+  this->ended_tasks.clear();
+  for (auto& [id, worker] : this->worker_states)
+    worker.capacity = ToResources(worker.record.description());
+  for (const auto& [id, task] : this->task_records) {
+    if (task.state() == wire::TASK_STATE_PENDING) {
+      this->pending_tasks.insert(PendingKeyOf(task));
+    }
+    if (task.state() == wire::TASK_STATE_PARKED)
+      this->parked_tasks.insert(id);
+    if (IsEnded(task.state()) && !task.from_estate())
+      this->ended_tasks[task.sequence()] = id;
+    if (!HoldsWorker(task.state()))
+      continue;
+    WorkerState& worker = this->worker_states[task.worker()];
+    worker.tasks.insert(id);
+    worker.committed += ResourcesOf(task.spec());
+    this->team_use[task.spec().team()] += ResourcesOf(task.spec());
+  }
+}
+
+}  // namespace savoryring
--- /dev/null
+++ b/src/libreplication/replica.cc
@@ -0,0 +1,806 @@
+#include "libreplication/replica.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "savoryring/result.h"
+
+namespace savoryring {
+namespace {
+
+constexpr std::size_t kMostEntriesPerAppend = 512;
+constexpr std::size_t kMostBytesPerAppend = 1U << 20U;
+constexpr Milliseconds kHelloInterval{200};
+constexpr Milliseconds kSnapshotResend{2000};
+// Share of the election timeout that a leader's lease lasts; the rest covers
+// clocks that run at different speeds.
+constexpr double kLeaseShare = 0.8;
+// Election timeouts without a majority until a leader steps down.
+constexpr int kQuorumLossTimeouts = 2;
+
+MemberId ToMemberId(const wire::Member& member) {
+  return {.id = member.id(), .incarnation = member.incarnation()};
+}
+
+void FillMember(const MemberId& id, wire::Member* member) {
+  member->set_id(id.id);
+  member->set_incarnation(id.incarnation);
+}
+
+wire::Membership ToMembership(const std::vector<MemberId>& voters) {
+  wire::Membership membership;
+  for (const MemberId& voter : voters)
+    FillMember(voter, membership.add_voters());
+  return membership;
+}
+
+}  // namespace
+
+Replica::Replica(ReplicaOptions options, StoredReplica stored, TimePoint now)
+    : options(std::move(options)),
+      random(this->options.seed),
+      hard_state(std::move(stored.hard_state)) {
+  if (stored.snapshot) {
+    this->base_index = stored.snapshot->index();
+    this->base_term = stored.snapshot->term();
+    this->base_state = stored.snapshot->state();
+    this->memberships[this->base_index] = stored.snapshot->membership();
+    this->commit = this->base_index;
+    this->delivered = this->base_index;
+  }
+  for (const wire::LogEntry& entry : stored.entries)
+    this->PushEntry(entry);
+  this->stored = this->last_index();
+  if (!this->memberships.empty())
+    this->role = ReplicaRole::kFollower;
+  this->UpdateRole();
+  // A leader may have heard this replica just before the restart and may
+  // count on it: it is taken as alive for one whole election timeout.
+  this->leader_contact_deadline = now + this->options.election;
+  this->hello_deadline = now;
+  this->ResetElectionDeadline(now);
+}
+
+void Replica::Tick(TimePoint now) {
+  if (!this->IsVoter() && now >= this->hello_deadline)
+    this->SayHello(now);
+  if (this->IsLeader()) {
+    this->TickLeader(now);
+    return;
+  }
+  if (this->IsVoter() && now >= this->election_deadline)
+    this->StartPreVote(now);
+}
+
+void Replica::Receive(const wire::ReplicaMessage& message, TimePoint now) {
+  const bool for_other_disk =
+      message.to_incarnation() != 0 &&
+      message.to_incarnation() != this->options.self.incarnation;
+  if (for_other_disk)
+    return;
+  switch (message.body_case()) {
+    case wire::ReplicaMessage::kHello:
+      return this->ReceiveHello(message, now);
+    case wire::ReplicaMessage::kHelloReply:
+      return this->ReceiveHelloReply(message, now);
+    case wire::ReplicaMessage::kForm:
+      return this->ReceiveForm(message, now);
+    case wire::ReplicaMessage::kVoteRequest:
+      return this->ReceiveVoteRequest(message, now);
+    case wire::ReplicaMessage::kVoteReply:
+      return this->ReceiveVoteReply(message, now);
+    case wire::ReplicaMessage::kAppendRequest:
+      return this->ReceiveAppend(message, now);
+    case wire::ReplicaMessage::kAppendReply:
+      return this->ReceiveAppendReply(message, now);
+    case wire::ReplicaMessage::kSnapshotRequest:
+      return this->ReceiveSnapshot(message, now);
+    case wire::ReplicaMessage::BODY_NOT_SET:
+      return;
+  }
+}
+
+std::optional<std::uint64_t> Replica::Propose(const std::string& command) {
+  if (!this->IsLeader())
+    return std::nullopt;
+  wire::LogEntry entry;
+  entry.set_command(command);
+  this->AppendOwn(std::move(entry));
+  return this->last_index();
+}
+
+ReplicaOutput Replica::TakeOutput(TimePoint now) {
+  if (this->IsLeader()) {
+    for (auto& [member, progress] : this->peers) {
+      if (progress.next <= this->last_index())
+        this->SendAppend(progress, now);
+    }
+  }
+  if (this->hard_state_changed) {
+    this->output.hard_state = this->hard_state;
+    this->hard_state_changed = false;
+  }
+  return std::exchange(this->output, {});
+}
+
+void Replica::OnStored(TimePoint) {
+  this->stored = this->last_index();
+  if (this->IsLeader())
+    this->AdvanceCommit();
+}
+
+void Replica::Compact(std::uint64_t index, std::string state) {
+  if (index <= this->base_index || index > this->delivered)
+    return;
+  const std::uint64_t term = this->TermAt(index);
+  const auto after = this->memberships.upper_bound(index);
+  const wire::Membership membership = std::prev(after)->second;
+  this->memberships.erase(this->memberships.begin(), after);
+  this->memberships[index] = membership;
+  const auto count = static_cast<std::ptrdiff_t>(index - this->base_index);
+  this->log.erase(this->log.begin(), this->log.begin() + count);
+  this->base_index = index;
+  this->base_term = term;
+  this->base_state = std::move(state);
+  wire::Snapshot snapshot;
+  snapshot.set_index(index);
+  snapshot.set_term(term);
+  *snapshot.mutable_membership() = membership;
+  snapshot.set_state(this->base_state);
+  this->output.snapshot = std::move(snapshot);
+}
+
+bool Replica::HasLease(TimePoint now) const {
+  if (!this->IsLeader())
+    return false;
+  if (this->options.mutations.lease_without_quorum)
+    return true;
+  const auto lease = std::chrono::duration_cast<std::chrono::nanoseconds>(
+      this->options.election * kLeaseShare);
+  const TimePoint confirmed = this->QuorumConfirmed();
+  return confirmed == kNever || now < confirmed + lease;
+}
+
+bool Replica::IsCaughtUp() const {
+  return this->IsLeader() && this->commit >= this->term_start_index &&
+         this->delivered == this->commit;
+}
+
+std::vector<MemberId> Replica::voters() const {
+  std::vector<MemberId> members;
+  for (const wire::Member& member : this->CurrentMembership().voters())
+    members.push_back(ToMemberId(member));
+  return members;
+}
+
+bool Replica::IsVoter() const {
+  for (const wire::Member& member : this->CurrentMembership().voters()) {
+    if (ToMemberId(member) == this->options.self)
+      return true;
+  }
+  return false;
+}
+
+// --- Forming a group and finding one ---
+
+void Replica::SayHello(TimePoint now) {
+  this->hello_deadline = now + kHelloInterval;
+  // Only answers to this very hello count: an answer given before this disk
+  // existed could describe a peer that has since joined another group.
+  this->hello_nonce = this->random();
+  this->empty_peers.clear();
+  for (const std::string& id : this->options.listed) {
+    if (id == this->options.self.id)
+      continue;
+    wire::ReplicaMessage message = this->NewMessage({.id = id});
+    message.mutable_hello()->set_nonce(this->hello_nonce);
+    this->SendTo({.id = id}, std::move(message));
+  }
+  this->TryForm(now);
+}
+
+void Replica::ReceiveHello(const wire::ReplicaMessage& message, TimePoint now) {
+  const MemberId peer = ToMemberId(message.from());
+  wire::ReplicaMessage reply = this->NewMessage(peer);
+  wire::HelloReply* body = reply.mutable_hello_reply();
+  body->set_nonce(message.hello().nonce());
+  body->set_formed(this->role != ReplicaRole::kUnformed);
+  // A group whose log still is its first membership only may have lost its
+  // Form message to this peer; the membership in the answer stands in for it.
+  if (this->last_index() == 1)
+    *body->mutable_membership() = this->CurrentMembership();
+  this->SendTo(peer, std::move(reply));
+  const bool listed = std::ranges::find(this->options.listed, peer.id) !=
+                      this->options.listed.end();
+  if (this->IsLeader() && listed && !this->peers.contains(peer))
+    this->StartProgress(peer, now);
+}
+
+void Replica::ReceiveHelloReply(const wire::ReplicaMessage& message,
+                                TimePoint now) {
+  const wire::HelloReply& reply = message.hello_reply();
+  const bool current = this->role == ReplicaRole::kUnformed &&
+                       reply.nonce() == this->hello_nonce;
+  if (!current)
+    return;
+  if (reply.formed()) {
+    this->JoinFormed(reply.membership(), now);
+    return;
+  }
+  const MemberId peer = ToMemberId(message.from());
+  this->empty_peers[peer.id] = peer;
+  this->TryForm(now);
+}
+
+// The replica with the lowest id forms the group, and only when every listed
+// replica is reachable and empty. A replica that comes back with an empty disk
+// finds the others formed and becomes a learner.
+void Replica::TryForm(TimePoint now) {
+  const bool lowest = *std::ranges::min_element(this->options.listed) ==
+                      this->options.self.id;
+  if (this->role != ReplicaRole::kUnformed || !lowest)
+    return;
+  std::vector<MemberId> members{this->options.self};
+  for (const auto& [id, member] : this->empty_peers)
+    members.push_back(member);
+  if (members.size() != this->options.listed.size())
+    return;
+  const wire::Membership membership = ToMembership(members);
+  for (const auto& [id, member] : this->empty_peers) {
+    wire::ReplicaMessage message = this->NewMessage(member);
+    *message.mutable_form()->mutable_membership() = membership;
+    this->SendTo(member, std::move(message));
+  }
+  this->JoinFormed(membership, now);
+}
+
+void Replica::ReceiveForm(const wire::ReplicaMessage& message, TimePoint now) {
+  if (this->role == ReplicaRole::kUnformed)
+    this->JoinFormed(message.form().membership(), now);
+}
+
+void Replica::JoinFormed(const wire::Membership& membership, TimePoint now) {
+  const bool named = std::ranges::any_of(
+      membership.voters(), [this](const wire::Member& member) {
+        return ToMemberId(member) == this->options.self;
+      });
+  if (!named)
+    return;
+  wire::LogEntry entry;
+  entry.set_index(1);
+  entry.set_term(1);
+  *entry.mutable_membership() = membership;
+  this->hard_state.set_term(1);
+  this->StoreHardState();
+  this->PushEntry(entry);
+  this->output.append.push_back(std::move(entry));
+  this->role = ReplicaRole::kFollower;
+  this->UpdateRole();
+  this->ResetElectionDeadline(now);
+}
+
+// --- Elections ---
+
+void Replica::StartPreVote(TimePoint now) {
+  this->role = ReplicaRole::kPreCandidate;
+  this->leader.clear();
+  this->votes = {this->options.self};
+  this->ResetElectionDeadline(now);
+  if (this->CountsAsQuorum(this->votes)) {
+    this->StartElection(now);
+    return;
+  }
+  this->RequestVotes(true);
+}
+
+void Replica::StartElection(TimePoint now) {
+  this->role = ReplicaRole::kCandidate;
+  this->hard_state.set_term(this->hard_state.term() + 1);
+  FillMember(this->options.self, this->hard_state.mutable_voted_for());
+  this->StoreHardState();
+  this->votes = {this->options.self};
+  this->ResetElectionDeadline(now);
+  if (this->CountsAsQuorum(this->votes)) {
+    this->BecomeLeader(now);
+    return;
+  }
+  this->RequestVotes(false);
+}
+
+void Replica::RequestVotes(bool pre_vote) {
+  for (const MemberId& voter : this->voters()) {
+    if (voter == this->options.self)
+      continue;
+    wire::ReplicaMessage message = this->NewMessage(voter);
+    if (pre_vote)
+      message.set_term(this->term() + 1);
+    wire::VoteRequest* request = message.mutable_vote_request();
+    request->set_pre_vote(pre_vote);
+    request->set_last_index(this->last_index());
+    request->set_last_term(this->TermAt(this->last_index()));
+    this->SendTo(voter, std::move(message));
+  }
+}
+
+void Replica::ReceiveVoteRequest(const wire::ReplicaMessage& message,
+                                 TimePoint now) {
+  const ReplicaMutations& mutations = this->options.mutations;
+  if (this->role == ReplicaRole::kUnformed && !mutations.empty_disk_votes)
+    return;
+  const wire::VoteRequest& request = message.vote_request();
+  // A leader that may still hold its lease must not be voted out, whatever
+  // the term: the lease rests on every voter keeping to this.
+  const bool leader_alive = !mutations.skip_leader_stickiness &&
+                            (now < this->leader_contact_deadline ||
+                             this->HasLease(now));
+  const MemberId candidate = ToMemberId(message.from());
+  bool granted =
+      !leader_alive && message.term() >= this->term() &&
+      this->IsUpToDate(request.last_index(), request.last_term());
+  if (request.pre_vote()) {
+    granted = granted && message.term() > this->term();
+  } else if (!leader_alive) {
+    if (message.term() > this->term())
+      this->BecomeFollower(message.term(), "", now);
+    const bool free = !this->hard_state.has_voted_for() ||
+                      ToMemberId(this->hard_state.voted_for()) == candidate;
+    granted = granted && free;
+  }
+  if (granted && !request.pre_vote()) {
+    FillMember(candidate, this->hard_state.mutable_voted_for());
+    this->StoreHardState();
+    this->ResetElectionDeadline(now);
+  }
+  wire::ReplicaMessage reply = this->NewMessage(candidate);
+  if (granted)
+    reply.set_term(message.term());
+  reply.mutable_vote_reply()->set_pre_vote(request.pre_vote());
+  reply.mutable_vote_reply()->set_granted(granted);
+  this->SendTo(candidate, std::move(reply));
+}
+
+void Replica::ReceiveVoteReply(const wire::ReplicaMessage& message,
+                               TimePoint now) {
+  const wire::VoteReply& reply = message.vote_reply();
+  if (!reply.granted()) {
+    if (message.term() > this->term())
+      this->BecomeFollower(message.term(), "", now);
+    return;
+  }
+  const std::uint64_t expected_term =
+      reply.pre_vote() ? this->term() + 1 : this->term();
+  const ReplicaRole expected_role = reply.pre_vote()
+                                        ? ReplicaRole::kPreCandidate
+                                        : ReplicaRole::kCandidate;
+  if (this->role != expected_role || message.term() != expected_term)
+    return;
+  this->votes.insert(ToMemberId(message.from()));
+  if (!this->CountsAsQuorum(this->votes))
+    return;
+  if (reply.pre_vote())
+    this->StartElection(now);
+  else
+    this->BecomeLeader(now);
+}
+
+void Replica::BecomeLeader(TimePoint now) {
+  this->role = ReplicaRole::kLeader;
+  this->leader = this->options.self.id;
+  this->leader_since = now;
+  this->peers.clear();
+  for (const MemberId& voter : this->voters()) {
+    if (voter != this->options.self)
+      this->StartProgress(voter, now);
+  }
+  // Entries of earlier terms are committed by one of this term.
+  this->AppendOwn({});
+  this->term_start_index = this->last_index();
+  this->Broadcast(now);
+}
+
+void Replica::BecomeFollower(std::uint64_t term,
+                             const std::string& leader,
+                             TimePoint now) {
+  const bool led = this->IsLeader();
+  if (term > this->hard_state.term()) {
+    this->hard_state.set_term(term);
+    this->hard_state.clear_voted_for();
+    this->StoreHardState();
+  }
+  this->role = ReplicaRole::kFollower;
+  this->UpdateRole();
+  this->leader = leader;
+  this->leader_since = kNever;
+  this->peers.clear();
+  if (led)
+    this->ResetElectionDeadline(now);
+}
+
+// --- Replication, leader's side ---
+
+void Replica::TickLeader(TimePoint now) {
+  const TimePoint confirmed = this->QuorumConfirmed();
+  if (confirmed != kNever && !this->options.mutations.lease_without_quorum) {
+    const TimePoint heard = std::max(confirmed, this->leader_since);
+    if (now > heard + kQuorumLossTimeouts * this->options.election) {
+      this->BecomeFollower(this->term(), "", now);
+      return;
+    }
+  }
+  if (now >= this->heartbeat_deadline)
+    this->Broadcast(now);
+  this->ReplaceLostDisks();
+}
+
+void Replica::Broadcast(TimePoint now) {
+  this->heartbeat_deadline = now + this->options.heartbeat;
+  for (auto& [member, progress] : this->peers) {
+    if (now >= progress.resend_deadline)
+      progress.next = progress.match + 1;
+    this->SendAppend(progress, now);
+  }
+}
+
+void Replica::SendAppend(Progress& progress, TimePoint now) {
+  if (progress.next <= this->base_index) {
+    this->SendSnapshot(progress, now);
+    return;
+  }
+  wire::ReplicaMessage message = this->NewMessage(progress.member);
+  wire::AppendRequest* request = message.mutable_append_request();
+  request->set_previous_index(progress.next - 1);
+  request->set_previous_term(this->TermAt(progress.next - 1));
+  request->set_commit_index(this->commit);
+  request->set_sent_ns(ToNanoseconds(now));
+  std::size_t bytes = 0;
+  while (progress.next <= this->last_index() &&
+         bytes < kMostBytesPerAppend &&
+         static_cast<std::size_t>(request->entries_size()) <
+             kMostEntriesPerAppend) {
+    const wire::LogEntry& entry =
+        this->log[progress.next - this->base_index - 1];
+    bytes += entry.command().size();
+    *request->add_entries() = entry;
+    progress.next += 1;
+  }
+  if (request->entries_size() > 0)
+    progress.resend_deadline = now + 2 * this->options.heartbeat;
+  this->SendTo(progress.member, std::move(message));
+}
+
+void Replica::SendSnapshot(Progress& progress, TimePoint now) {
+  wire::ReplicaMessage message = this->NewMessage(progress.member);
+  wire::SnapshotRequest* request = message.mutable_snapshot_request();
+  request->set_sent_ns(ToNanoseconds(now));
+  wire::Snapshot* snapshot = request->mutable_snapshot();
+  snapshot->set_index(this->base_index);
+  snapshot->set_term(this->base_term);
+  *snapshot->mutable_membership() =
+      this->memberships.begin()->second;
+  snapshot->set_state(this->base_state);
+  progress.next = this->base_index + 1;
+  progress.resend_deadline = now + kSnapshotResend;
+  this->SendTo(progress.member, std::move(message));
+}
+
+void Replica::ReceiveAppendReply(const wire::ReplicaMessage& message,
+                                 TimePoint now) {
+  if (message.term() > this->term()) {
+    this->BecomeFollower(message.term(), "", now);
+    return;
+  }
+  if (!this->IsLeader() || message.term() != this->term())
+    return;
+  const auto found = this->peers.find(ToMemberId(message.from()));
+  if (found == this->peers.end())
+    return;
+  Progress& progress = found->second;
+  const wire::AppendReply& reply = message.append_reply();
+  progress.heard = now;
+  progress.confirmed =
+      std::max(progress.confirmed, FromNanoseconds(reply.sent_ns()));
+  if (!reply.accepted()) {
+    progress.next = std::max(progress.match, reply.match_index()) + 1;
+    progress.next = std::min(progress.next, this->last_index() + 1);
+    this->SendAppend(progress, now);
+    return;
+  }
+  if (reply.match_index() > progress.match) {
+    progress.match = reply.match_index();
+    progress.resend_deadline = now + 2 * this->options.heartbeat;
+  }
+  progress.next = std::max(progress.next, progress.match + 1);
+  this->AdvanceCommit();
+  this->ReplaceLostDisks();
+}
+
+void Replica::AppendOwn(wire::LogEntry entry) {
+  entry.set_index(this->last_index() + 1);
+  entry.set_term(this->term());
+  this->PushEntry(entry);
+  this->output.append.push_back(std::move(entry));
+}
+
+void Replica::AdvanceCommit() {
+  std::vector<std::uint64_t> matches;
+  for (const MemberId& voter : this->voters()) {
+    if (voter == this->options.self) {
+      matches.push_back(this->stored);
+      continue;
+    }
+    const auto found = this->peers.find(voter);
+    matches.push_back(found == this->peers.end() ? 0 : found->second.match);
+  }
+  std::ranges::sort(matches, std::greater());
+  if (matches.empty())
+    return;
+  const std::uint64_t agreed = matches[matches.size() / 2];
+  if (agreed <= this->commit)
+    return;
+  // An entry of an earlier term may still be replaced although a majority
+  // holds it; only one of this term makes it safe.
+  if (this->TermAt(agreed) != this->term() &&
+      !this->options.mutations.commit_old_terms)
+    return;
+  this->commit = agreed;
+  this->DeliverCommitted();
+}
+
+void Replica::DeliverCommitted() {
+  while (this->delivered < this->commit) {
+    this->delivered += 1;
+    this->output.committed.push_back(
+        this->log[this->delivered - this->base_index - 1]);
+  }
+}
+
+// A disk that was lost comes back empty under a new incarnation. Once it has
+// caught up, the old incarnation leaves and the new one enters, by two
+// committed changes of one voter each, so that successive majorities overlap.
+void Replica::ReplaceLostDisks() {
+  const bool settled = this->IsLeader() &&
+                       this->MembershipIndex() <= this->commit &&
+                       this->commit >= this->term_start_index;
+  if (!settled)
+    return;
+  std::vector<MemberId> members = this->voters();
+  for (const auto& [member, progress] : this->peers) {
+    const bool is_voter = std::ranges::find(members, member) != members.end();
+    const bool caught_up =
+        progress.match >= this->commit && progress.match > 0;
+    if (is_voter || !caught_up)
+      continue;
+    const auto old = std::ranges::find(members, member.id, &MemberId::id);
+    if (old != members.end()) {
+      const MemberId lost = *old;
+      members.erase(old);
+      this->ProposeMembership(members);
+      this->peers.erase(lost);
+    } else {
+      members.push_back(member);
+      this->ProposeMembership(members);
+    }
+    return;
+  }
+}
+
+void Replica::ProposeMembership(const std::vector<MemberId>& voters) {
+  wire::LogEntry entry;
+  *entry.mutable_membership() = ToMembership(voters);
+  this->AppendOwn(std::move(entry));
+}
+
+void Replica::StartProgress(const MemberId& member, TimePoint now) {
+  // A newer incarnation of the same replica takes the place of a learner;
+  // the old voter's entry stays until the change of membership is made.
+  std::erase_if(this->peers, [&](const auto& item) {
+    const std::vector<MemberId> members = this->voters();
+    return item.first.id == member.id &&
+           std::ranges::find(members, item.first) == members.end();
+  });
+  this->peers[member] = {.member = member,
+                         .next = this->last_index() + 1,
+                         .match = 0,
+                         .heard = now,
+                         .confirmed = TimePoint(),
+                         .resend_deadline = now};
+}
+
+// --- Replication, follower's side ---
+
+bool Replica::FollowLeader(const wire::ReplicaMessage& message, TimePoint now) {
+  if (message.term() < this->term())
+    return false;
+  const bool changed = message.term() > this->term() ||
+                       this->role == ReplicaRole::kPreCandidate ||
+                       this->role == ReplicaRole::kCandidate ||
+                       this->role == ReplicaRole::kUnformed;
+  if (changed)
+    this->BecomeFollower(message.term(), message.from().id(), now);
+  this->leader = message.from().id();
+  this->leader_contact_deadline = now + this->options.election;
+  this->ResetElectionDeadline(now);
+  return true;
+}
+
+void Replica::ReceiveAppend(const wire::ReplicaMessage& message,
+                            TimePoint now) {
+  const wire::AppendRequest& request = message.append_request();
+  if (!this->FollowLeader(message, now)) {
+    this->ReplyAppend(message, false, this->commit, 0);
+    return;
+  }
+  const std::uint64_t previous = request.previous_index();
+  const bool known = previous <= this->base_index ||
+                     (previous <= this->last_index() &&
+                      this->TermAt(previous) == request.previous_term());
+  if (!known) {
+    const std::uint64_t hint =
+        previous > this->last_index() ? this->last_index() : this->commit;
+    this->ReplyAppend(message, false, hint, request.sent_ns());
+    return;
+  }
+  this->StoreEntries(request);
+  const std::uint64_t match = std::max<std::uint64_t>(
+      previous + static_cast<std::uint64_t>(request.entries_size()),
+      std::min(this->base_index, this->commit));
+  this->commit =
+      std::max(this->commit, std::min(request.commit_index(), match));
+  this->DeliverCommitted();
+  this->ReplyAppend(message, true, match, request.sent_ns());
+}
+
+void Replica::StoreEntries(const wire::AppendRequest& request) {
+  for (const wire::LogEntry& entry : request.entries()) {
+    if (entry.index() <= this->base_index)
+      continue;
+    if (entry.index() <= this->last_index()) {
+      if (this->TermAt(entry.index()) == entry.term())
+        continue;
+      this->CutLogFrom(entry.index());
+    }
+    this->PushEntry(entry);
+    this->output.append.push_back(entry);
+  }
+  this->UpdateRole();
+}
+
+void Replica::ReceiveSnapshot(const wire::ReplicaMessage& message,
+                              TimePoint now) {
+  const wire::SnapshotRequest& request = message.snapshot_request();
+  if (!this->FollowLeader(message, now)) {
+    this->ReplyAppend(message, false, this->commit, 0);
+    return;
+  }
+  const wire::Snapshot& snapshot = request.snapshot();
+  if (snapshot.index() > this->commit) {
+    this->log.clear();
+    this->memberships.clear();
+    this->memberships[snapshot.index()] = snapshot.membership();
+    this->base_index = snapshot.index();
+    this->base_term = snapshot.term();
+    this->base_state = snapshot.state();
+    this->commit = snapshot.index();
+    this->delivered = snapshot.index();
+    this->output.append.clear();
+    this->output.committed.clear();
+    this->output.snapshot = snapshot;
+    this->output.restore = true;
+    this->UpdateRole();
+  }
+  this->ReplyAppend(message, true, this->commit, request.sent_ns());
+}
+
+void Replica::ReplyAppend(const wire::ReplicaMessage& message,
+                          bool accepted,
+                          std::uint64_t match_index,
+                          std::uint64_t sent_ns) {
+  const MemberId to = ToMemberId(message.from());
+  wire::ReplicaMessage reply = this->NewMessage(to);
+  reply.mutable_append_reply()->set_accepted(accepted);
+  reply.mutable_append_reply()->set_match_index(match_index);
+  reply.mutable_append_reply()->set_sent_ns(sent_ns);
+  this->SendTo(to, std::move(reply));
+}
+
+// --- The log ---
+
+void Replica::PushEntry(const wire::LogEntry& entry) {
+  if (entry.index() != this->last_index() + 1)
+    throw Error(ResultCode::kDamagedLog, "records are not consecutive");
+  this->log.push_back(entry);
+  if (entry.has_membership())
+    this->memberships[entry.index()] = entry.membership();
+}
+
+void Replica::CutLogFrom(std::uint64_t index) {
+  if (index <= this->commit)
+    throw Error(ResultCode::kInternal, "a committed entry would be replaced");
+  this->log.resize(index - this->base_index - 1);
+  this->memberships.erase(this->memberships.lower_bound(index),
+                          this->memberships.end());
+  this->stored = std::min(this->stored, index - 1);
+}
+
+std::uint64_t Replica::TermAt(std::uint64_t index) const {
+  if (index == this->base_index)
+    return this->base_term;
+  if (index < this->base_index || index > this->last_index())
+    return 0;
+  return this->log[index - this->base_index - 1].term();
+}
+
+bool Replica::IsUpToDate(std::uint64_t last_index,
+                         std::uint64_t last_term) const {
+  const std::uint64_t own_term = this->TermAt(this->last_index());
+  if (last_term != own_term)
+    return last_term > own_term;
+  return last_index >= this->last_index();
+}
+
+const wire::Membership& Replica::CurrentMembership() const {
+  static const wire::Membership none;
+  return this->memberships.empty() ? none : this->memberships.rbegin()->second;
+}
+
+std::uint64_t Replica::MembershipIndex() const {
+  return this->memberships.empty() ? 0 : this->memberships.rbegin()->first;
+}
+
+// --- Small helpers ---
+
+void Replica::UpdateRole() {
+  if (this->role == ReplicaRole::kFollower && !this->IsVoter())
+    this->role = ReplicaRole::kLearner;
+  else if (this->role == ReplicaRole::kLearner && this->IsVoter())
+    this->role = ReplicaRole::kFollower;
+}
+
+bool Replica::CountsAsQuorum(const std::set<MemberId>& granted) const {
+  const std::vector<MemberId> members = this->voters();
+  const auto count = std::ranges::count_if(
+      members, [&granted](const MemberId& m) { return granted.contains(m); });
+  return static_cast<std::size_t>(count) > members.size() / 2;
+}
+
+// Latest time at which a majority, self included, is known to have followed.
+TimePoint Replica::QuorumConfirmed() const {
+  std::vector<TimePoint> times;
+  for (const MemberId& voter : this->voters()) {
+    if (voter == this->options.self) {
+      times.push_back(kNever);
+      continue;
+    }
+    const auto found = this->peers.find(voter);
+    times.push_back(found == this->peers.end() ? TimePoint()
+                                               : found->second.confirmed);
+  }
+  std::ranges::sort(times, std::greater());
+  return times.empty() ? TimePoint() : times[times.size() / 2];
+}
+
+wire::ReplicaMessage Replica::NewMessage(const MemberId& to) const {
+  wire::ReplicaMessage message;
+  FillMember(this->options.self, message.mutable_from());
+  message.set_to_incarnation(to.incarnation);
+  message.set_term(this->term());
+  return message;
+}
+
+void Replica::SendTo(const MemberId& to, wire::ReplicaMessage message) {
+  this->output.messages.push_back(
+      {.to = to.id, .message = std::move(message)});
+}
+
+void Replica::StoreHardState() {
+  this->hard_state_changed = !this->options.mutations.skip_vote_sync;
+}
+
+void Replica::ResetElectionDeadline(TimePoint now) {
+  const std::chrono::nanoseconds least = this->options.election;
+  const auto extra = static_cast<std::int64_t>(
+      this->random() % static_cast<std::uint64_t>(least.count()));
+  this->election_deadline = now + least + std::chrono::nanoseconds(extra);
+}
+
+}  // namespace savoryring
--- /dev/null
+++ b/src/libtransport/link.cc
@@ -0,0 +1,193 @@
+#include "libtransport/link.h"
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <utility>
+
+#include "libbase/checksum.h"
+#include "libbase/events.h"
+#include "savoryring/result.h"
+
+namespace savoryring {
+namespace {
+
+constexpr int kHighWaterMark = 4000;
+constexpr std::int64_t kLargestMessageBytes = 256LL << 20;
+constexpr int kReconnectMs = 50;
+constexpr int kReconnectMaxMs = 500;
+// Messages taken from one socket before the others get their turn.
+constexpr int kBatch = 512;
+
+}  // namespace
+
+Link::Link(LinkOptions options)
+    : options(std::move(options)),
+      context(1),
+      listener(this->context, zmq::socket_type::router) {
+  this->listener.set(zmq::sockopt::linger, 0);
+  this->listener.set(zmq::sockopt::sndhwm, kHighWaterMark);
+  this->listener.set(zmq::sockopt::rcvhwm, kHighWaterMark);
+  this->listener.set(zmq::sockopt::maxmsgsize, kLargestMessageBytes);
+  try {
+    this->listener.bind("tcp://" + this->options.bind_address);
+  } catch (const zmq::error_t& failure) {
+    throw Error(ResultCode::kAddressInUse,
+                this->options.bind_address + ": " + failure.what());
+  }
+  this->wake_descriptor = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+}
+
+Link::~Link() {
+  close(this->wake_descriptor);
+}
+
+void Link::Send(const std::string& address,
+                wire::MessageKind kind,
+                const std::string& body) {
+  const std::string frame = this->Frame(kind, body);
+  const auto sent = this->Connection(address).send(zmq::buffer(frame),
+                                                   zmq::send_flags::dontwait);
+  if (sent)
+    this->CountSent(frame.size());
+}
+
+void Link::Reply(const Origin& origin,
+                 wire::MessageKind kind,
+                 const std::string& body) {
+  if (origin.identity.empty()) {
+    this->Send(origin.address, kind, body);
+    return;
+  }
+  const std::string frame = this->Frame(kind, body);
+  const auto addressed = this->listener.send(
+      zmq::buffer(origin.identity),
+      zmq::send_flags::sndmore | zmq::send_flags::dontwait);
+  if (!addressed)
+    return;
+  if (this->listener.send(zmq::buffer(frame), zmq::send_flags::dontwait))
+    this->CountSent(frame.size());
+}
+
+void Link::Replace(const std::string& address) {
+  this->connections.erase(address);
+}
+
+void Link::CloseUnless(const std::function<bool(const std::string&)>& keep) {
+  std::erase_if(this->connections,
+                [&keep](const auto& item) { return !keep(item.first); });
+}
+
+std::vector<Received> Link::Poll(Milliseconds wait) {
+  std::vector<zmq::pollitem_t> items;
+  items.push_back({nullptr, this->wake_descriptor, ZMQ_POLLIN, 0});
+  items.push_back({this->listener.handle(), 0, ZMQ_POLLIN, 0});
+  for (auto& [address, socket] : this->connections)
+    items.push_back({socket.handle(), 0, ZMQ_POLLIN, 0});
+  zmq::poll(items, wait);
+  std::uint64_t wakes = 0;
+  if (items[0].revents != 0)
+    [[maybe_unused]] const auto ignored =
+        read(this->wake_descriptor, &wakes, sizeof(wakes));
+  std::vector<Received> received;
+  if (items[1].revents != 0)
+    this->DrainListener(received);
+  std::size_t next = 2;
+  for (auto& [address, socket] : this->connections) {
+    if (items[next++].revents != 0)
+      this->DrainConnection(address, socket, received);
+  }
+  return received;
+}
+
+void Link::Wake() {
+  const std::uint64_t one = 1;
+  [[maybe_unused]] const auto ignored =
+      write(this->wake_descriptor, &one, sizeof(one));
+}
+
+zmq::socket_t& Link::Connection(const std::string& address) {
+  const auto found = this->connections.find(address);
+  if (found != this->connections.end())
+    return found->second;
+  zmq::socket_t socket(this->context, zmq::socket_type::dealer);
+  socket.set(zmq::sockopt::linger, 0);
+  socket.set(zmq::sockopt::sndhwm, kHighWaterMark);
+  socket.set(zmq::sockopt::rcvhwm, kHighWaterMark);
+  socket.set(zmq::sockopt::maxmsgsize, kLargestMessageBytes);
+  socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+  socket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
+  socket.connect("tcp://" + address);
+  return this->connections.emplace(address, std::move(socket)).first->second;
+}
+
+std::string Link::Frame(wire::MessageKind kind, const std::string& body) const {
+  wire::Envelope envelope;
+  envelope.set_sender(this->options.sender);
+  envelope.set_incarnation(this->options.incarnation);
+  envelope.set_revision(this->revision);
+  envelope.set_kind(kind);
+  envelope.set_body(body);
+  envelope.set_body_checksum(Checksum(body));
+  return envelope.SerializeAsString();
+}
+
+void Link::CountSent(std::size_t bytes) {
+  this->counts.messages_sent += 1;
+  this->counts.bytes_sent += bytes;
+}
+
+void Link::DrainListener(std::vector<Received>& received) {
+  for (int i = 0; i < kBatch; ++i) {
+    zmq::message_t identity;
+    if (!this->listener.recv(identity, zmq::recv_flags::dontwait))
+      return;
+    zmq::message_t frame;
+    bool more = identity.more();
+    if (more) {
+      [[maybe_unused]] const auto size = this->listener.recv(frame);
+      more = frame.more();
+    }
+    // A well-formed peer sends one frame; further ones are read and ignored.
+    while (more) {
+      zmq::message_t surplus;
+      [[maybe_unused]] const auto size = this->listener.recv(surplus);
+      more = surplus.more();
+    }
+    this->Accept({.identity = identity.to_string(), .address = ""}, frame,
+                 received);
+  }
+}
+
+void Link::DrainConnection(const std::string& address,
+                           zmq::socket_t& socket,
+                           std::vector<Received>& received) {
+  for (int i = 0; i < kBatch; ++i) {
+    zmq::message_t frame;
+    if (!socket.recv(frame, zmq::recv_flags::dontwait))
+      return;
+    this->Accept({.identity = "", .address = address}, frame, received);
+  }
+}
+
+void Link::Accept(Origin origin,
+                  const zmq::message_t& frame,
+                  std::vector<Received>& received) {
+  this->counts.messages_received += 1;
+  this->counts.bytes_received += frame.size();
+  Received message;
+  message.origin = std::move(origin);
+  const bool whole =
+      message.envelope.ParseFromArray(frame.data(),
+                                      static_cast<int>(frame.size())) &&
+      !message.envelope.sender().empty() &&
+      Checksum(message.envelope.body()) == message.envelope.body_checksum();
+  if (!whole) {
+    this->counts.dropped += 1;
+    LogEvent(Event::kForeignMessage, {{"bytes", std::to_string(frame.size())}});
+    return;
+  }
+  received.push_back(std::move(message));
+}
+
+}  // namespace savoryring
