--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+# Front to the CMake build.
+#
+#   make            build everything
+#   make demo       install packages, build, run the main job on this machine
+#   make test       install packages, build, run every test
+#   make lint       check format and naming
+#   make bench      measurements (not part of CI)
+#   make proto      generate the message code again
+
+BUILD ?= build
+PACKAGES := libulfius-dev libzmq3-dev cppzmq-dev libprotobuf-dev \
+  protobuf-compiler libboost-log-dev libboost-thread-dev libgflags-dev \
+  libcpputest-dev nlohmann-json3-dev libxxhash-dev libpcg-cpp-dev
+TOOLS := g++ cmake ninja-build pkg-config curl
+PROTOS := $(wildcard src/lib*/*.proto)
+SOURCES = $(shell git ls-files '*.cc' '*.h' | grep -v '\.pb\.')
+
+all: $(BUILD)/build.ninja
+	@ninja -C $(BUILD) --quiet >$(BUILD)-ninja.log 2>&1 || (cat $(BUILD)-ninja.log; exit 1)
+
+$(BUILD)/build.ninja: CMakeLists.txt
+	@cmake -G Ninja -B $(BUILD) . >$(BUILD)-cmake.log 2>&1 || \
+	  (cat $(BUILD)-cmake.log; exit 1)
+
+packages:
+	@src/cmake/install_packages.sh $(TOOLS) $(PACKAGES)
+
+demo: packages all
+	@testsuite/demo/run $(CURDIR)/$(BUILD)/bin $(CURDIR)/examples
+
+test: packages all
+	@testsuite/run_all $(CURDIR)/$(BUILD) $(CURDIR)
+
+lint:
+	@src/cmake/lint.sh $(BUILD) $(SOURCES)
+
+bench: all
+	@$(BUILD)/bin/savoryring_bench
+
+proto:
+	cd src && protoc -I. --cpp_out=. $(PROTOS:src/%=%)
+
+clean:
+	rm -rf $(BUILD) $(BUILD)-cmake.log
+
+.PHONY: all packages demo test lint bench proto clean
--- a/src/cmake/savoryring_package.cmake
+++ b/src/cmake/savoryring_package.cmake
@@ -11,6 +11,10 @@
       ${PROJECT_SOURCE_DIR}/src/libbase/test_main.cc)
     target_link_libraries(${name}_test PRIVATE
       savoryring_${name} PkgConfig::CPPUTEST)
+    # The leak check of CppUTest redefines `new`, which libraries' headers
+    # can't bear.
+    target_compile_definitions(${name}_test PRIVATE
+      CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
     add_test(NAME ${name} COMMAND ${name}_test)
   endif()
 endfunction()
--- a/src/include/savoryring/settings.h
+++ b/src/include/savoryring/settings.h
@@ -30,13 +30,13 @@
 };
 
 struct TimingSettings {
-  Milliseconds heartbeat{500};     ///< Endpoint process to control and entries.
+  Milliseconds heartbeat{500};  ///< Endpoint process to control and entries.
   Milliseconds worker_lease{3000};
-  Milliseconds election{400};      ///< Least election timeout of a replica.
+  Milliseconds election{400};  ///< Least election timeout of a replica.
   Milliseconds replica_heartbeat{80};
-  Milliseconds drain{10000};       ///< Longest wait of a graceful shutdown.
+  Milliseconds drain{10000};          ///< Longest wait of a graceful shutdown.
   Milliseconds balancer_notice{500};  ///< Listener stays open this long.
-  Milliseconds acknowledge{150};   ///< Wait before a connection is replaced.
+  Milliseconds acknowledge{150};      ///< Wait before a connection is replaced.
 };
 
 struct LimitSettings {
--- a/src/libbase/settings.cc
+++ b/src/libbase/settings.cc
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <charconv>
 #include <fstream>
-#include <sstream>
+#include <iterator>
 
 #include "libbase/json_checker.h"
 
@@ -111,9 +111,9 @@
     } else if (duty == "endpoint") {
       settings.endpoint = ParseEndpoint(view.Object("endpoint"));
     } else {
-      view.Report(ResultCode::kOutOfRange, "duties",
-                  "unknown duty " + duty +
-                      "; known are entry, control and endpoint");
+      view.Report(
+          ResultCode::kOutOfRange, "duties",
+          "unknown duty " + duty + "; known are entry, control and endpoint");
     }
   }
 }
@@ -173,10 +173,10 @@
 
 std::string ReadFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
-  std::ostringstream text;
-  if (!file || !(text << file.rdbuf()))
+  if (!file)
     throw Error(ResultCode::kUnreadableFile, path);
-  return text.str();
+  return {std::istreambuf_iterator<char>(file),
+          std::istreambuf_iterator<char>()};
 }
 
 }  // namespace savoryring
--- a/src/libestate/estate.cc
+++ b/src/libestate/estate.cc
@@ -15,15 +15,14 @@
 constexpr std::uint64_t kMostAccelerators = 1024;
 constexpr std::uint64_t kMostQuota = UINT32_MAX;
 
-
 class EstateParser {
  public:
   explicit EstateParser(std::string_view text)
       : document(ParseJson(text)), root(this->document, "", this->problems) {}
 
   Estate Parse() {
-    this->root.AllowKeys({"services", "tasks", "task_classes", "monitors",
-                          "teams", "weights"});
+    this->root.AllowKeys(
+        {"services", "tasks", "task_classes", "monitors", "teams", "weights"});
     this->ParseTeams();
     this->ParseServices();
     this->estate.tasks = this->ParseWork("tasks", WorkKind::kTask);
@@ -72,8 +71,8 @@
     Resources size;
     size.processors = static_cast<std::uint32_t>(view.Integer(
         "processors", least, {.least = least, .most = most_processors}));
-    size.memory_mb = view.Integer("memory_mb", least,
-                                  {.least = least, .most = most_memory});
+    size.memory_mb =
+        view.Integer("memory_mb", least, {.least = least, .most = most_memory});
     size.accelerators = static_cast<std::uint32_t>(
         view.Integer("accelerators", 0, {.most = kMostAccelerators}));
     return size;
@@ -214,9 +213,9 @@
       if (found == this->names.end())
         continue;
       if (found->second.visit == Node::Visit::kOpen) {
-        this->problems.Add(ResultCode::kDependencyCycle, frame.node->pointer,
-                           frame.name + " and " + target +
-                               " depend on each other");
+        this->problems.Add(
+            ResultCode::kDependencyCycle, frame.node->pointer,
+            frame.name + " and " + target + " depend on each other");
       } else if (found->second.visit == Node::Visit::kNew) {
         found->second.visit = Node::Visit::kOpen;
         stack.push_back({.name = target, .node = &found->second});
@@ -252,11 +251,10 @@
 Described DescribeEstate(const Estate& estate) {
   Described items;
   for (const ServiceSpec& service : estate.services) {
-    items["service " + service.name] =
-        nlohmann::json{{"timeout_ms", service.timeout.count()},
-                       {"tail_target_ms", service.tail_target.count()},
-                       {"depends_on", service.depends_on}}
-            .dump();
+    items["service " + service.name] = nlohmann::json{
+        {"timeout_ms", service.timeout.count()},
+        {"tail_target_ms", service.tail_target.count()},
+        {"depends_on", service.depends_on}}.dump();
   }
   for (const WorkSpec& work : estate.tasks)
     items["task " + work.name] = DescribeWork(work);
@@ -270,10 +268,10 @@
                        team.quota.accelerators}
             .dump();
   }
-  items["weights"] = nlohmann::json{estate.weights.tail_latency,
-                                    estate.weights.throughput,
-                                    estate.weights.evictions}
-                         .dump();
+  items["weights"] =
+      nlohmann::json{estate.weights.tail_latency, estate.weights.throughput,
+                     estate.weights.evictions}
+          .dump();
   return items;
 }
 
--- /dev/null
+++ b/src/libestate/estate_test.cc
@@ -0,0 +1,140 @@
+#include "savoryring/estate.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "libestate/estate_state.h"
+#include "savoryring/result.h"
+
+namespace savoryring {
+namespace {
+
+std::vector<Problem> ProblemsOf(const std::string& text) {
+  try {
+    ParseEstate(text);
+  } catch (const Error& failure) {
+    return failure.problems();
+  }
+  return {};
+}
+
+constexpr const char* kTeams =
+    R"("teams": [{"name": "steel", "quota": {"processors": 4,
+        "memory_mb": 1000, "accelerators": 0}}])";
+
+std::string WithTasks(const std::string& tasks) {
+  return "{\"tasks\": [" + tasks + "], " + kTeams + "}";
+}
+
+std::string TaskText(const std::string& name, const std::string& depends_on) {
+  return "{\"name\": \"" + name +
+         "\", \"team\": \"steel\", \"processors\": 1, \"memory_mb\": 1, "
+         "\"command\": \"x\", \"depends_on\": [" +
+         depends_on + "]}";
+}
+
+}  // namespace
+
+TEST_GROUP(Estate){};
+
+TEST(Estate, ReportsDanglingNamesCyclesAndImpossibleSizesAtOnce) {
+  const auto problems = ProblemsOf(WithTasks(
+      TaskText("a", "\"b\"") + "," + TaskText("b", "\"a\", \"none\"") +
+      R"(, {"name": "big", "team": "steel", "processors": 5,
+            "memory_mb": 1, "command": "x"},
+          {"name": "a", "team": "nobody", "processors": 1, "memory_mb": 1,
+           "command": "x"})"));
+  std::vector<ResultCode> codes;
+  for (const Problem& problem : problems)
+    codes.push_back(problem.code);
+  const auto has = [&codes](ResultCode code) {
+    return std::find(codes.begin(), codes.end(), code) != codes.end();
+  };
+  CHECK(has(ResultCode::kDependencyCycle));
+  CHECK(has(ResultCode::kImpossibleSize));
+  CHECK(has(ResultCode::kDuplicateName));
+  CHECK(has(ResultCode::kDanglingDependency));
+}
+
+TEST(Estate, TakesAChainOfManyThousandTasks) {
+  std::string tasks = TaskText("t0", "");
+  for (int i = 1; i < 20000; ++i) {
+    tasks += "," + TaskText("t" + std::to_string(i),
+                            "\"t" + std::to_string(i - 1) + "\"");
+  }
+  CHECK_EQUAL(20000, ParseEstate(WithTasks(tasks)).tasks.size());
+}
+
+TEST(Estate, DifferenceNamesWhatIsAddedRemovedAndChanged) {
+  const Estate before = ParseEstate(
+      R"({"services": [{"name": "a"}, {"name": "b", "timeout_ms": 5}]})");
+  const Estate after = ParseEstate(
+      R"({"services": [{"name": "b", "timeout_ms": 6}, {"name": "c"}]})");
+  const auto lines = DescribeDifference(before, after);
+  CHECK_EQUAL(3, lines.size());
+  STRCMP_EQUAL("- service a", lines[0].c_str());
+  STRCMP_EQUAL("~ service b", lines[1].c_str());
+  STRCMP_EQUAL("+ service c", lines[2].c_str());
+}
+
+TEST_GROUP(EstateState) {
+  EstateState state;
+
+  ResultCode Submit(std::uint64_t version, const std::string& text) {
+    return this->state.Apply({.version = version, .text = text});
+  }
+};
+
+TEST(EstateState, TakesOnlyTheNextVersionAndKnowsResends) {
+  const std::string one = R"({"services": [{"name": "a"}]})";
+  const std::string two = R"({"services": [{"name": "b"}]})";
+  CHECK(this->Submit(2, one) == ResultCode::kVersionNotNext);
+  CHECK(this->Submit(1, one) == ResultCode::kOk);
+  CHECK(this->Submit(1, one) == ResultCode::kOk);
+  CHECK(this->Submit(1, two) == ResultCode::kVersionConflict);
+  CHECK(this->Submit(2, two) == ResultCode::kOk);
+  // A resend of an older version that was accepted, and a false one.
+  CHECK(this->Submit(1, one) == ResultCode::kOk);
+  CHECK(this->Submit(1, two) == ResultCode::kVersionConflict);
+  CHECK_EQUAL(2, this->state.revision());
+}
+
+TEST(EstateState, SendsOnlyChangedSections) {
+  this->Submit(1, R"({"services": [{"name": "a"}], "weights": {}})");
+  this->Submit(2, R"({"services": [{"name": "b"}], "weights": {}})");
+  const auto update = this->state.ChangesSince(1, {});
+  CHECK_EQUAL(1, update.sections_size());
+  STRCMP_EQUAL("services", update.sections(0).name().c_str());
+  CHECK_EQUAL(0, this->state.ChangesSince(2, {}).sections_size());
+}
+
+TEST(EstateState, ARemovedSectionReachesTheCachesAsEmpty) {
+  EstateCache cache;
+  this->Submit(1, R"({"services": [{"name": "a"}]})");
+  cache.Apply(this->state.ChangesSince(0, {"services"}));
+  CHECK_EQUAL(1, cache.estate().services.size());
+  this->Submit(2, "{}");
+  cache.Apply(this->state.ChangesSince(1, {"services"}));
+  CHECK_EQUAL(0, cache.estate().services.size());
+}
+
+TEST(EstateState, ACacheNeverGoesBack) {
+  EstateCache cache;
+  this->Submit(1, R"({"services": [{"name": "a"}]})");
+  const auto old = this->state.ChangesSince(0, {});
+  this->Submit(2, R"({"services": [{"name": "b"}]})");
+  CHECK(cache.Apply(this->state.ChangesSince(0, {})));
+  CHECK(!cache.Apply(old));
+  STRCMP_EQUAL("b", cache.estate().services[0].name.c_str());
+}
+
+TEST(EstateState, ASnapshotKeepsResendsKnown) {
+  const std::string one = R"({"services": [{"name": "a"}]})";
+  this->Submit(1, one);
+  this->Submit(2, "{}");
+  EstateState restored;
+  restored.Restore(this->state.Save());
+  CHECK(restored.Apply({.version = 1, .text = one}) == ResultCode::kOk);
+  CHECK_EQUAL(2, restored.revision());
+}
+
+}  // namespace savoryring
--- a/src/libmembership/directory.cc
+++ b/src/libmembership/directory.cc
@@ -16,11 +16,10 @@
   return found != this->services.end() && found->second.serving;
 }
 
-DirectoryChange Directory::Apply(
-    const std::string& sender,
-    std::uint64_t incarnation,
-    const wire::EndpointAnnouncement& announcement,
-    TimePoint now) {
+DirectoryChange Directory::Apply(const std::string& sender,
+                                 std::uint64_t incarnation,
+                                 const wire::EndpointAnnouncement& announcement,
+                                 TimePoint now) {
   EndpointRecord& record = this->records[sender];
   const bool appeared = record.id.empty();
   const bool replaced = !appeared && record.incarnation != incarnation;
--- a/src/libplacement/control_state.cc
+++ b/src/libplacement/control_state.cc
@@ -163,8 +163,7 @@
 
 // --- The estate ---
 
-ApplyResult ControlState::ApplySubmitEstate(
-    const wire::SubmitEstate& command) {
+ApplyResult ControlState::ApplySubmitEstate(const wire::SubmitEstate& command) {
   const std::uint64_t before = this->estate_state.revision();
   const ResultCode code =
       this->estate_state.Apply({.version = command.version(),
@@ -186,9 +185,9 @@
     if (!task.from_estate() || wanted.contains(id))
       continue;
     if (!IsEnded(task.state())) {
-      this->BeginStop(task, wire::STOP_CAUSE_REMOVED,
-                      "revision " +
-                          std::to_string(this->estate_state.revision()));
+      this->BeginStop(
+          task, wire::STOP_CAUSE_REMOVED,
+          "revision " + std::to_string(this->estate_state.revision()));
     }
   }
   // Ended work that must not be done twice is remembered: its name may come
@@ -238,9 +237,9 @@
       return;
     }
     *task.mutable_next_spec() = wanted_spec;
-    this->BeginStop(task, wire::STOP_CAUSE_CHANGED,
-                    "revision " +
-                        std::to_string(this->estate_state.revision()));
+    this->BeginStop(
+        task, wire::STOP_CAUSE_CHANGED,
+        "revision " + std::to_string(this->estate_state.revision()));
     return;
   }
   const bool restart = NeedsRestart(task.spec(), wanted_spec) ||
@@ -249,8 +248,7 @@
   *task.mutable_spec() = wanted_spec;
   // Work that must not be done twice is not begun again under its old name,
   // whatever its new text says.
-  const bool done_for_good =
-      IsEnded(task.state()) && !MayRunTwice(task.spec());
+  const bool done_for_good = IsEnded(task.state()) && !MayRunTwice(task.spec());
   if (restart && !done_for_good)
     this->ReviveForNewRevision(task);
   else
@@ -265,9 +263,9 @@
   if (task.state() == wire::TASK_STATE_FINISHED)
     task.clear_checkpoint();
   this->SetState(task, wire::TASK_STATE_PENDING);
-  this->AddStep(task, "pending",
-                "changed in revision " +
-                    std::to_string(this->estate_state.revision()));
+  this->AddStep(
+      task, "pending",
+      "changed in revision " + std::to_string(this->estate_state.revision()));
 }
 
 // --- Workers ---
@@ -283,8 +281,10 @@
   worker.capacity = ToResources(command.description());
   worker.record.set_incarnation(command.incarnation());
   worker.record.set_lost(false);
-  if (!same_process)
+  if (!same_process) {
+    worker.record.set_leaving(false);
     this->BumpOrders(id);
+  }
   this->ReviveParked(worker.capacity);
   return {};
 }
@@ -336,8 +336,9 @@
   if (!may_run_again) {
     this->SetState(task, wire::TASK_STATE_OUTCOME_UNKNOWN);
     this->AddStep(task, "outcome unknown",
-                  lost + " was lost or lost the task; it is not repeatable "
-                         "and has no checkpoint");
+                  lost +
+                      " was lost or lost the task; it is not repeatable "
+                      "and has no checkpoint");
     return;
   }
   if (task.has_next_spec()) {
@@ -352,8 +353,11 @@
   const auto found = this->worker_states.find(command.worker());
   if (found == this->worker_states.end())
     return {.code = ResultCode::kUnknownWorker};
-  found->second.record.set_draining(command.draining());
-  if (command.draining()) {
+  if (command.leaving())
+    found->second.record.set_leaving(true);
+  else
+    found->second.record.set_draining(command.draining());
+  if (command.draining() || command.leaving()) {
     const std::set<std::string> tasks = found->second.tasks;
     for (const std::string& task : tasks) {
       this->BeginStop(this->task_records.at(task), wire::STOP_CAUSE_DRAINED,
@@ -409,7 +413,7 @@
   const bool stands =
       task.state() == wire::TASK_STATE_PENDING &&
       task.epoch() + 1 == assignment.epoch() && !worker.record.lost() &&
-      !worker.record.draining() &&
+      !worker.record.draining() && !worker.record.leaving() &&
       worker.record.incarnation() == assignment.worker_incarnation();
   if (!stands)
     return;
@@ -485,8 +489,7 @@
     case wire::TASK_FINISHED:
       place.record.clear_failed_tasks();
       place.record.set_quarantined(false);
-      if (task.spec().monitor() &&
-          !(IsFinalStop(task.stop_cause()))) {
+      if (task.spec().monitor() && !(IsFinalStop(task.stop_cause()))) {
         this->SetState(task, wire::TASK_STATE_PENDING);
         this->AddStep(task, "pending", "a monitor that ended is started again");
         return;
@@ -598,8 +601,8 @@
 void ControlState::SetState(wire::TaskRecord& task, wire::TaskState state) {
   const PendingKey key = PendingKeyOf(task);
   task.set_state(state);
-  const bool keeps_cause = state == wire::TASK_STATE_STOPPING ||
-                           state == wire::TASK_STATE_CANCELLED;
+  const bool keeps_cause =
+      state == wire::TASK_STATE_STOPPING || state == wire::TASK_STATE_CANCELLED;
   if (!keeps_cause)
     task.set_stop_cause(wire::STOP_CAUSE_UNSPECIFIED);
   if (state == wire::TASK_STATE_PARKED)
@@ -654,8 +657,14 @@
 
 void ControlState::BumpOrders(const std::string& worker) {
   const auto found = this->worker_states.find(worker);
-  if (found != this->worker_states.end())
-    found->second.record.set_orders_version(this->index);
+  if (found == this->worker_states.end())
+    return;
+  found->second.record.set_orders_version(this->index);
+  this->changed_workers.insert(worker);
+}
+
+std::set<std::string> ControlState::TakeChangedWorkers() {
+  return std::exchange(this->changed_workers, {});
 }
 
 const wire::TaskRecord* ControlState::FindTask(const std::string& id) const {
--- a/src/libplacement/control_state.h
+++ b/src/libplacement/control_state.h
@@ -70,6 +70,8 @@
   const WorkerState* FindWorker(const std::string& id) const;
   /// Resources that the team's assigned tasks hold.
   Resources TeamUse(const std::string& team) const;
+  /// Workers whose orders have changed since the last call.
+  std::set<std::string> TakeChangedWorkers();
   /// The orders that stand for a worker.
   std::vector<wire::TaskOrder> OrdersFor(const std::string& worker) const;
 
@@ -119,6 +121,7 @@
   // Follow from the records; rebuilt when a snapshot is restored.
   std::set<PendingKey> pending_tasks;
   std::set<std::string> parked_tasks;
+  std::set<std::string> changed_workers;
   std::map<std::string, Resources> team_use;
   std::map<std::uint64_t, std::string> ended_tasks;  // submitted ones, by age
 };
--- a/src/libplacement/scheduler.cc
+++ b/src/libplacement/scheduler.cc
@@ -66,10 +66,10 @@
     reports.set_incarnation(incarnation);
     *commands.emplace_back().mutable_report_tasks() = std::move(reports);
   }
-  if (heartbeat.leaving() && !worker->record.draining()) {
+  if (heartbeat.leaving() && !worker->record.leaving()) {
     wire::Command& command = commands.emplace_back();
     command.mutable_drain_worker()->set_worker(id);
-    command.mutable_drain_worker()->set_draining(true);
+    command.mutable_drain_worker()->set_leaving(true);
   }
   return commands;
 }
@@ -187,11 +187,12 @@
   std::vector<Candidate> candidates;
   for (const auto& [id, worker] : state.workers()) {
     const LiveWorker* seen = this->live.Find(id);
-    const bool usable =
-        seen != nullptr && now < seen->lease_bound && !seen->leaving &&
-        seen->incarnation == worker.record.incarnation() &&
-        !worker.record.lost() && !worker.record.draining() &&
-        !(worker.record.quarantined() && !worker.tasks.empty());
+    const bool usable = seen != nullptr && now < seen->lease_bound &&
+                        !seen->leaving &&
+                        seen->incarnation == worker.record.incarnation() &&
+                        !worker.record.lost() && !worker.record.draining() &&
+                        !worker.record.leaving() &&
+                        !(worker.record.quarantined() && !worker.tasks.empty());
     if (usable) {
       candidates.push_back(
           {.worker = &worker,
@@ -210,9 +211,8 @@
     if (!need.FitsIn(candidate.free))
       continue;
     const std::string& id = candidate.worker->record.description().id();
-    const bool failed_here =
-        std::ranges::find(task.failed_workers(), id) !=
-        task.failed_workers().end();
+    const bool failed_here = std::ranges::find(task.failed_workers(), id) !=
+                             task.failed_workers().end();
     if (failed_here && !task.spec().monitor())
       continue;
     if (this->options.first_fit)
@@ -230,10 +230,9 @@
   if (now < this->park_start || state.workers().empty())
     return;
   const Resources need = ResourcesOf(task.spec());
-  const bool fits_one =
-      std::ranges::any_of(state.workers(), [&need](const auto& item) {
-        return need.FitsIn(item.second.capacity);
-      });
+  const bool fits_one = std::ranges::any_of(
+      state.workers(),
+      [&need](const auto& item) { return need.FitsIn(item.second.capacity); });
   if (fits_one)
     return;
   wire::ParkTask* command = commands.emplace_back().mutable_park_task();
--- a/src/libplacement/task_runner.cc
+++ b/src/libplacement/task_runner.cc
@@ -47,8 +47,8 @@
   local.ordered = true;
   if (!added)
     return;
-  const bool foreign = order.assigned_incarnation() !=
-                       this->options.incarnation;
+  const bool foreign =
+      order.assigned_incarnation() != this->options.incarnation;
   if (foreign && !this->options.mutations.restart_unknown) {
     // Ordered of the process that was here before. It may run at the worker,
     // and the worker's list will say so; it must not be started again.
@@ -153,9 +153,9 @@
 }
 
 void TaskRunner::Advance(const TaskRun& run, LocalRun& local, TimePoint now) {
-  const bool may_run = local.ordered && local.order.run() &&
-                       (now < this->StopTime() ||
-                        this->options.mutations.ignore_lease);
+  const bool may_run =
+      local.ordered && local.order.run() &&
+      (now < this->StopTime() || this->options.mutations.ignore_lease);
   switch (local.phase) {
     case Phase::kOrdered:
       if (may_run)
@@ -205,6 +205,7 @@
 void TaskRunner::End(LocalRun& local, wire::TaskRunState state) {
   local.phase = Phase::kEnded;
   local.end = state;
+  this->news = true;
 }
 
 void TaskRunner::Renew(TimePoint now) {
--- a/src/libplacement/task_runner.h
+++ b/src/libplacement/task_runner.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -16,8 +17,8 @@
 namespace savoryring {
 
 struct TaskRunnerMutations {
-  bool ignore_lease = false;         ///< Tasks go on without a lease.
-  bool restart_unknown = false;      ///< Starts again what the worker lost.
+  bool ignore_lease = false;     ///< Tasks go on without a lease.
+  bool restart_unknown = false;  ///< Starts again what the worker lost.
 };
 
 struct TaskRunnerOptions {
@@ -84,9 +85,18 @@
   TimePoint lease_until() const { return this->lease_end; }
   bool HasLease(TimePoint now) const;
   bool HasRunning() const;
+  /// Whether a run has ended since the last call.
+  bool HasNews() { return std::exchange(this->news, false); }
 
  private:
-  enum class Phase { kOrdered, kStarting, kRunning, kMissing, kStopping, kEnded };
+  enum class Phase {
+    kOrdered,
+    kStarting,
+    kRunning,
+    kMissing,
+    kStopping,
+    kEnded
+  };
   struct LocalRun {
     wire::TaskOrder order;
     bool ordered = true;  // still in the leader's orders
@@ -94,9 +104,9 @@
     wire::TaskRunState end = wire::TASK_RUN_UNKNOWN;
     std::string checkpoint;
     double applied_share = 1;
-    TimePoint start_answered;   // lists asked for before this don't count
-    TimePoint lease_given;      // latest lease end that the worker was given
-    TimePoint retry_deadline;   // when an unanswered stop is sent again
+    TimePoint start_answered;  // lists asked for before this don't count
+    TimePoint lease_given;     // latest lease end that the worker was given
+    TimePoint retry_deadline;  // when an unanswered stop is sent again
   };
 
   void TakeOrder(const wire::TaskOrder& order, TimePoint now);
@@ -116,6 +126,7 @@
   TimePoint lease_end;
   TimePoint renew_deadline;
   bool has_orders = false;
+  bool news = false;
   std::uint64_t version = 0;
   std::map<TaskRun, LocalRun> runs;
   std::vector<TaskRunnerEffect> effects;
--- a/src/libreplication/replica.cc
+++ b/src/libreplication/replica.cc
@@ -236,8 +236,8 @@
 // replica is reachable and empty. A replica that comes back with an empty disk
 // finds the others formed and becomes a learner.
 void Replica::TryForm(TimePoint now) {
-  const bool lowest = *std::ranges::min_element(this->options.listed) ==
-                      this->options.self.id;
+  const bool lowest =
+      *std::ranges::min_element(this->options.listed) == this->options.self.id;
   if (this->role != ReplicaRole::kUnformed || !lowest)
     return;
   std::vector<MemberId> members{this->options.self};
@@ -330,13 +330,12 @@
   const wire::VoteRequest& request = message.vote_request();
   // A leader that may still hold its lease must not be voted out, whatever
   // the term: the lease rests on every voter keeping to this.
-  const bool leader_alive = !mutations.skip_leader_stickiness &&
-                            (now < this->leader_contact_deadline ||
-                             this->HasLease(now));
+  const bool leader_alive =
+      !mutations.skip_leader_stickiness &&
+      (now < this->leader_contact_deadline || this->HasLease(now));
   const MemberId candidate = ToMemberId(message.from());
-  bool granted =
-      !leader_alive && message.term() >= this->term() &&
-      this->IsUpToDate(request.last_index(), request.last_term());
+  bool granted = !leader_alive && message.term() >= this->term() &&
+                 this->IsUpToDate(request.last_index(), request.last_term());
   if (request.pre_vote()) {
     granted = granted && message.term() > this->term();
   } else if (!leader_alive) {
@@ -369,9 +368,8 @@
   }
   const std::uint64_t expected_term =
       reply.pre_vote() ? this->term() + 1 : this->term();
-  const ReplicaRole expected_role = reply.pre_vote()
-                                        ? ReplicaRole::kPreCandidate
-                                        : ReplicaRole::kCandidate;
+  const ReplicaRole expected_role =
+      reply.pre_vote() ? ReplicaRole::kPreCandidate : ReplicaRole::kCandidate;
   if (this->role != expected_role || message.term() != expected_term)
     return;
   this->votes.insert(ToMemberId(message.from()));
@@ -453,8 +451,7 @@
   request->set_commit_index(this->commit);
   request->set_sent_ns(ToNanoseconds(now));
   std::size_t bytes = 0;
-  while (progress.next <= this->last_index() &&
-         bytes < kMostBytesPerAppend &&
+  while (progress.next <= this->last_index() && bytes < kMostBytesPerAppend &&
          static_cast<std::size_t>(request->entries_size()) <
              kMostEntriesPerAppend) {
     const wire::LogEntry& entry =
@@ -475,8 +472,7 @@
   wire::Snapshot* snapshot = request->mutable_snapshot();
   snapshot->set_index(this->base_index);
   snapshot->set_term(this->base_term);
-  *snapshot->mutable_membership() =
-      this->memberships.begin()->second;
+  *snapshot->mutable_membership() = this->memberships.begin()->second;
   snapshot->set_state(this->base_state);
   progress.next = this->base_index + 1;
   progress.resend_deadline = now + kSnapshotResend;
@@ -566,8 +562,7 @@
   std::vector<MemberId> members = this->voters();
   for (const auto& [member, progress] : this->peers) {
     const bool is_voter = std::ranges::find(members, member) != members.end();
-    const bool caught_up =
-        progress.match >= this->commit && progress.match > 0;
+    const bool caught_up = progress.match >= this->commit && progress.match > 0;
     if (is_voter || !caught_up)
       continue;
     const auto old = std::ranges::find(members, member.id, &MemberId::id);
@@ -788,8 +783,7 @@
 }
 
 void Replica::SendTo(const MemberId& to, wire::ReplicaMessage message) {
-  this->output.messages.push_back(
-      {.to = to.id, .message = std::move(message)});
+  this->output.messages.push_back({.to = to.id, .message = std::move(message)});
 }
 
 void Replica::StoreHardState() {
--- a/src/libreplication/replica.h
+++ b/src/libreplication/replica.h
@@ -27,10 +27,10 @@
 
 /// Mechanisms that a test may switch off to show that its proof needs them.
 struct ReplicaMutations {
-  bool skip_vote_sync = false;        ///< Votes are not stored.
-  bool skip_leader_stickiness = false;///< Votes while a leader is alive.
-  bool empty_disk_votes = false;      ///< An empty disk votes at once.
-  bool commit_old_terms = false;      ///< Commits entries of earlier terms.
+  bool skip_vote_sync = false;          ///< Votes are not stored.
+  bool skip_leader_stickiness = false;  ///< Votes while a leader is alive.
+  bool empty_disk_votes = false;        ///< An empty disk votes at once.
+  bool commit_old_terms = false;        ///< Commits entries of earlier terms.
   bool lease_without_quorum = false;  ///< Leads on without hearing a majority.
 };
 
@@ -75,8 +75,8 @@
 };
 
 enum class ReplicaRole {
-  kUnformed,   ///< Empty disk, no group known.
-  kLearner,    ///< Follows, but is not a voter.
+  kUnformed,  ///< Empty disk, no group known.
+  kLearner,   ///< Follows, but is not a voter.
   kFollower,
   kPreCandidate,
   kCandidate,
@@ -102,6 +102,8 @@
   /// Replaces the log up to `index` by a snapshot. `index` must be applied.
   void Compact(std::uint64_t index, std::string state);
 
+  /// State of the snapshot that the log begins after; empty without one.
+  const std::string& snapshot_state() const { return this->base_state; }
   /// The entries after the snapshot, as they must stand on disk.
   std::vector<wire::LogEntry> Entries() const {
     return {this->log.begin(), this->log.end()};
--- a/src/libreplication/replica_store.cc
+++ b/src/libreplication/replica_store.cc
@@ -245,8 +245,9 @@
   // A write that was cut short leaves nothing whole behind it. Whole records
   // after a damaged one mean that acknowledged records are gone.
   if (HoldsWholeRecord(rest.substr(1))) {
-    throw Error(ResultCode::kDamagedLog,
-                path + " at byte " + std::to_string(bytes.size() - rest.size()));
+    throw Error(
+        ResultCode::kDamagedLog,
+        path + " at byte " + std::to_string(bytes.size() - rest.size()));
   }
   this->cut_size = rest.size();
   fs::resize_file(path, bytes.size() - rest.size());
@@ -273,8 +274,8 @@
     return;
   const wire::Snapshot& snapshot = *this->stored.snapshot;
   std::vector<wire::LogEntry>& entries = this->stored.entries;
-  bool agrees = !entries.empty() &&
-                entries.front().index() == snapshot.index() + 1;
+  bool agrees =
+      !entries.empty() && entries.front().index() == snapshot.index() + 1;
   std::size_t covered = 0;
   for (const wire::LogEntry& entry : entries) {
     if (entry.index() > snapshot.index())
--- /dev/null
+++ b/src/libreplication/replica_store_test.cc
@@ -0,0 +1,153 @@
+#include "libreplication/replica_store.h"
+
+#include <CppUTest/TestHarness.h>
+#include <stdlib.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "savoryring/result.h"
+#include "savoryring/settings.h"
+
+namespace savoryring {
+namespace {
+
+namespace fs = std::filesystem;
+
+wire::LogEntry Entry(std::uint64_t index,
+                     std::uint64_t term,
+                     const std::string& command) {
+  wire::LogEntry entry;
+  entry.set_index(index);
+  entry.set_term(term);
+  entry.set_command(command);
+  return entry;
+}
+
+}  // namespace
+
+TEST_GROUP(ReplicaStore) {
+  std::string folder;
+
+  void setup() override {
+    char name[] = "/tmp/savoryring-store.XXXXXX";
+    this->folder = mkdtemp(name);
+  }
+  void teardown() override {
+    fs::remove_all(this->folder);
+  }
+
+  StoredReplica Reopen() {
+    return ReplicaStore(this->folder, "a", 99).TakeStored();
+  }
+  std::string LogPath() const {
+    return this->folder + "/log";
+  }
+
+  void WriteThree() {
+    ReplicaStore store(this->folder, "a", 7);
+    ReplicaOutput output;
+    output.hard_state.emplace().set_term(4);
+    output.append = {Entry(1, 1, "one"), Entry(2, 1, "two"),
+                     Entry(3, 4, "three")};
+    store.Store(output, {});
+  }
+};
+
+TEST(ReplicaStore, KeepsIdentityStateAndEntries) {
+  this->WriteThree();
+  ReplicaStore store(this->folder, "a", 99);
+  CHECK_EQUAL(7, store.self().incarnation);
+  const StoredReplica stored = store.TakeStored();
+  CHECK_EQUAL(4, stored.hard_state.term());
+  CHECK_EQUAL(3, stored.entries.size());
+  STRCMP_EQUAL("three", stored.entries[2].command().c_str());
+}
+
+TEST(ReplicaStore, ALaterRecordReplacesThoseFromItsIndexOn) {
+  this->WriteThree();
+  {
+    ReplicaStore store(this->folder, "a", 99);
+    ReplicaOutput output;
+    output.append = {Entry(2, 5, "other")};
+    store.Store(output, {});
+  }
+  const StoredReplica stored = this->Reopen();
+  CHECK_EQUAL(2, stored.entries.size());
+  STRCMP_EQUAL("other", stored.entries[1].command().c_str());
+}
+
+TEST(ReplicaStore, CutsATornLastRecordAtEveryLength) {
+  this->WriteThree();
+  const std::string whole = ReadFile(this->LogPath());
+  wire::StoredRecord last;
+  *last.mutable_entry() = Entry(3, 4, "three");
+  const std::size_t start = whole.size() - EncodeRecord(last).size();
+  for (std::size_t size = start; size < whole.size(); ++size) {
+    fs::resize_file(this->LogPath(), size);
+    CHECK_EQUAL(2, this->Reopen().entries.size());
+    std::ofstream(this->LogPath(), std::ios::binary) << whole;
+  }
+}
+
+TEST(ReplicaStore, ADamagedRecordBeforeWholeOnesStopsTheReplica) {
+  this->WriteThree();
+  std::string bytes = ReadFile(this->LogPath());
+  bytes[bytes.size() / 2] ^= 1;
+  std::ofstream(this->LogPath(), std::ios::binary) << bytes;
+  try {
+    this->Reopen();
+    FAIL("the damage was not seen");
+  } catch (const Error& failure) {
+    CHECK(failure.code() == ResultCode::kDamagedLog);
+  }
+}
+
+TEST(ReplicaStore, ALogThatIsGoneStopsTheReplica) {
+  this->WriteThree();
+  fs::remove(this->LogPath());
+  CHECK_THROWS(Error, this->Reopen());
+}
+
+TEST(ReplicaStore, ADiskOfAnotherReplicaIsRefused) {
+  this->WriteThree();
+  CHECK_THROWS(Error, ReplicaStore(this->folder, "b", 99));
+}
+
+TEST(ReplicaStore, ASnapshotReplacesTheLogBeforeIt) {
+  this->WriteThree();
+  {
+    ReplicaStore store(this->folder, "a", 99);
+    ReplicaOutput output;
+    wire::Snapshot snapshot;
+    snapshot.set_index(2);
+    snapshot.set_term(1);
+    snapshot.set_state("state");
+    output.snapshot = snapshot;
+    store.Store(output, {Entry(3, 4, "three")});
+  }
+  const StoredReplica stored = this->Reopen();
+  CHECK_EQUAL(2, stored.snapshot->index());
+  CHECK_EQUAL(4, stored.hard_state.term());
+  CHECK_EQUAL(1, stored.entries.size());
+}
+
+// A crash after the snapshot was replaced and before the log was rewritten
+// leaves old entries behind the new snapshot.
+TEST(ReplicaStore, OldEntriesThatDisagreeWithTheSnapshotAreDropped) {
+  this->WriteThree();
+  const std::string old_log = ReadFile(this->LogPath());
+  {
+    ReplicaStore store(this->folder, "a", 99);
+    ReplicaOutput output;
+    wire::Snapshot snapshot;
+    snapshot.set_index(2);
+    snapshot.set_term(3);
+    output.snapshot = snapshot;
+    store.Store(output, {});
+  }
+  std::ofstream(this->LogPath(), std::ios::binary) << old_log;
+  CHECK_EQUAL(0, this->Reopen().entries.size());
+}
+
+}  // namespace savoryring
--- a/src/librouting/admission.cc
+++ b/src/librouting/admission.cc
@@ -35,8 +35,8 @@
   }
   if (arrival.endpoint_incarnation != this->options.incarnation) {
     // Meant for the process that was here before: it may have run there.
-    this->effects.emplace_back(TellAttempt{.key = arrival.key,
-                                           .state = wire::ATTEMPT_FOREIGN});
+    this->effects.emplace_back(
+        TellAttempt{.key = arrival.key, .state = wire::ATTEMPT_FOREIGN});
     return;
   }
   // The entry has closed this attempt before it came: nobody waits for it,
@@ -83,10 +83,10 @@
   if (service.queue.size() >= limit)
     return ResultCode::kOverloaded;
   // Those with an earlier deadline go first; each slot serves its share.
-  const auto ahead = static_cast<std::int64_t>(std::distance(
-      service.queue.begin(),
-      service.queue.lower_bound(
-          {.deadline = arrival.deadline, .key = arrival.key})));
+  const auto ahead = static_cast<std::int64_t>(
+      std::distance(service.queue.begin(),
+                    service.queue.lower_bound(
+                        {.deadline = arrival.deadline, .key = arrival.key})));
   const auto slots = static_cast<std::int64_t>(service.endpoint.slots);
   const auto turns = ahead / slots + 1;
   const TimePoint expected_end = now + service.mean_run * (turns + 1);
--- a/src/librouting/admission.h
+++ b/src/librouting/admission.h
@@ -19,8 +19,8 @@
 namespace savoryring {
 
 struct AdmissionMutations {
-  bool ignore_bars = false;        ///< A barred attempt may run.
-  bool forget_attempts = false;    ///< A repeated attempt runs again.
+  bool ignore_bars = false;      ///< A barred attempt may run.
+  bool forget_attempts = false;  ///< A repeated attempt runs again.
   bool accept_while_leaving = false;
 };
 
--- a/src/librouting/endpoint_score.cc
+++ b/src/librouting/endpoint_score.cc
@@ -80,7 +80,8 @@
     return 1e9;
   const ServiceLoad& load = found->second;
   const auto score = this->scores.find(record.id);
-  const std::uint32_t own = score == this->scores.end() ? 0 : score->second.open;
+  const std::uint32_t own =
+      score == this->scores.end() ? 0 : score->second.open;
   // The announced figure lags and counts this entry's attempts too.
   const std::uint32_t busy = std::max(own, load.running + load.queued);
   return static_cast<double>(busy) / load.slots;
--- a/src/librouting/router.cc
+++ b/src/librouting/router.cc
@@ -81,9 +81,9 @@
                                .code = ResultCode::kOutcomeUnknown});
       return;
     case wire::CLAIM_MISMATCHED:
-      this->Close(request, wire::CLAIM_UNKNOWN,
-                  AnswerResult{.request = request,
-                               .code = ResultCode::kClaimMismatch});
+      this->Close(
+          request, wire::CLAIM_UNKNOWN,
+          AnswerResult{.request = request, .code = ResultCode::kClaimMismatch});
       return;
     case wire::CLAIM_IN_PROGRESS:
       open.last_refusal = ResultCode::kClaimHeld;
@@ -205,9 +205,9 @@
   const std::string& service = open.request.service;
   bool near_has_room = false;
   for (const auto& [id, record] : this->endpoints.endpoints()) {
-    const bool tried = std::ranges::find(open.attempts, id,
-                                         &OpenAttempt::endpoint) !=
-                       open.attempts.end();
+    const bool tried =
+        std::ranges::find(open.attempts, id, &OpenAttempt::endpoint) !=
+        open.attempts.end();
     if (tried || !record.Serves(service, now))
       continue;
     if (this->scores.IsEjected(id, now)) {
@@ -218,19 +218,19 @@
     if (record.availability_zone != this->options.availability_zone)
       continue;
     near.push_back(&record);
-    near_has_room = near_has_room ||
-                    this->scores.Load(record, service) < kZoneLoadLimit;
+    near_has_room =
+        near_has_room || this->scores.Load(record, service) < kZoneLoadLimit;
   }
   const bool stay_near = near_has_room && !this->options.use_random_choice;
   const auto& candidates = all.empty() ? ejected : stay_near ? near : all;
   if (candidates.empty())
     return nullptr;
-  const EndpointRecord* first = candidates[this->random(
-      static_cast<std::uint32_t>(candidates.size()))];
+  const EndpointRecord* first =
+      candidates[this->random(static_cast<std::uint32_t>(candidates.size()))];
   if (this->options.use_random_choice)
     return first;
-  const EndpointRecord* second = candidates[this->random(
-      static_cast<std::uint32_t>(candidates.size()))];
+  const EndpointRecord* second =
+      candidates[this->random(static_cast<std::uint32_t>(candidates.size()))];
   return this->scores.Cost(*first, service) <=
                  this->scores.Cost(*second, service)
              ? first
@@ -282,8 +282,8 @@
       SendBar{.key = attempt.key,
               .link = attempt.link,
               .endpoint_incarnation = attempt.endpoint_incarnation});
-  const bool go_on = open.request.repeatable ||
-                     this->options.mutations.retry_in_doubt;
+  const bool go_on =
+      open.request.repeatable || this->options.mutations.retry_in_doubt;
   if (first && go_on && this->MayRetry(open, now) &&
       (!this->options.use_retry_budget || this->budget.Spend())) {
     // May move `attempt`: it is not used after this line.
@@ -296,23 +296,22 @@
                           ResultCode refusal,
                           TimePoint now) {
   open.last_refusal = refusal;
-  const bool others_open = std::ranges::any_of(
-      open.attempts, [](const OpenAttempt& attempt) {
+  const bool others_open =
+      std::ranges::any_of(open.attempts, [](const OpenAttempt& attempt) {
         return attempt.phase == AttemptPhase::kSent ||
                attempt.phase == AttemptPhase::kAcknowledged ||
                attempt.phase == AttemptPhase::kBarring;
       });
   if (others_open)
     return;
-  const bool in_doubt = std::ranges::any_of(
-      open.attempts, [](const OpenAttempt& attempt) {
+  const bool in_doubt =
+      std::ranges::any_of(open.attempts, [](const OpenAttempt& attempt) {
         return attempt.phase == AttemptPhase::kDoubtful;
       });
   const bool allowed = !in_doubt || open.request.repeatable ||
                        this->options.mutations.retry_in_doubt;
-  const bool retry =
-      allowed && this->MayRetry(open, now) &&
-      (!this->options.use_retry_budget || this->budget.Spend());
+  const bool retry = allowed && this->MayRetry(open, now) &&
+                     (!this->options.use_retry_budget || this->budget.Spend());
   if (retry && this->StartAttempt(open, now)) {
     this->retry_count += 1;
     return;
@@ -323,8 +322,8 @@
 // Gives the system's own answer. Where any attempt may have run, the answer
 // must not claim that the request did not.
 void Router::Finish(OpenRequest& open, ResultCode code) {
-  const bool certain = std::ranges::all_of(
-      open.attempts, [](const OpenAttempt& attempt) {
+  const bool certain =
+      std::ranges::all_of(open.attempts, [](const OpenAttempt& attempt) {
         return attempt.phase == AttemptPhase::kNotRun;
       });
   const bool failed = code == ResultCode::kEndpointFailed;
@@ -372,8 +371,8 @@
 void Router::ScheduleCheck(OpenRequest& open) {
   const std::uint64_t id = open.request.id;
   this->checks.erase({.deadline = open.next_check, .request = id});
-  TimePoint next = std::min({open.request.deadline, open.claim_deadline,
-                             open.hedge_deadline});
+  TimePoint next = std::min(
+      {open.request.deadline, open.claim_deadline, open.hedge_deadline});
   for (const OpenAttempt& attempt : open.attempts) {
     if (attempt.phase == AttemptPhase::kSent ||
         attempt.phase == AttemptPhase::kBarring)
--- a/src/librouting/router.h
+++ b/src/librouting/router.h
@@ -133,7 +133,13 @@
   std::uint64_t hedges() const { return this->hedge_count; }
 
  private:
-  enum class AttemptPhase { kSent, kAcknowledged, kBarring, kNotRun, kDoubtful };
+  enum class AttemptPhase {
+    kSent,
+    kAcknowledged,
+    kBarring,
+    kNotRun,
+    kDoubtful
+  };
   struct OpenAttempt {
     AttemptKey key;
     std::string endpoint;
--- /dev/null
+++ b/src/libtransport/control_client.cc
@@ -0,0 +1,112 @@
+#include "libtransport/control_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "savoryring/result.h"
+
+namespace savoryring {
+namespace {
+
+// Wait before a replica is asked again while the group elects a leader.
+constexpr Milliseconds kNoLeaderWait{60};
+
+}  // namespace
+
+ControlClient::ControlClient(ControlClientOptions options)
+    : options(std::move(options)) {}
+
+void ControlClient::OnCall(wire::ControlCall call,
+                           TimePoint deadline,
+                           TimePoint now) {
+  const std::uint64_t id = call.call_id();
+  OpenCall& open = this->calls[id];
+  open.call = std::move(call);
+  open.deadline = deadline;
+  this->Ask(open, now);
+}
+
+void ControlClient::OnReply(const std::string& link,
+                            const wire::ControlReply& reply,
+                            TimePoint now) {
+  const auto found = this->calls.find(reply.call_id());
+  if (found == this->calls.end())
+    return;
+  OpenCall& open = found->second;
+  const bool retry =
+      reply.result_code() ==
+      static_cast<std::uint32_t>(NumberOf(ResultCode::kNoLeader));
+  if (!retry) {
+    this->OnLeaderHint(link);
+    this->effects.emplace_back(DeliverReply{.reply = reply});
+    this->calls.erase(found);
+    return;
+  }
+  if (reply.leader_link().empty() || reply.leader_link() == link) {
+    // No leader there now: another replica may know more in a moment.
+    if (this->leader_link() == link)
+      this->Rotate();
+    open.answer_deadline = now + kNoLeaderWait;
+    open.asked.clear();
+    return;
+  }
+  this->OnLeaderHint(reply.leader_link());
+  this->Ask(open, now);
+}
+
+void ControlClient::OnTick(TimePoint now) {
+  std::vector<std::uint64_t> expired;
+  for (auto& [id, open] : this->calls) {
+    if (now >= open.deadline) {
+      expired.push_back(id);
+      continue;
+    }
+    if (now < open.answer_deadline)
+      continue;
+    if (!open.asked.empty()) {
+      this->effects.emplace_back(ReplaceControlConnection{.link = open.asked});
+      if (this->leader_link() == open.asked)
+        this->Rotate();
+    }
+    this->Ask(open, now);
+  }
+  for (const std::uint64_t id : expired) {
+    wire::ControlReply reply;
+    reply.set_call_id(id);
+    // Reads change nothing; anything else may still be committed.
+    const bool read = this->calls.at(id).call.method() == "GET";
+    const ResultCode code =
+        read ? ResultCode::kNoLeader : ResultCode::kNotCommittedInTime;
+    reply.set_status(static_cast<std::uint32_t>(InfoOf(code).http_status));
+    reply.set_result_code(static_cast<std::uint32_t>(NumberOf(code)));
+    reply.set_body(ResultBody(code, ""));
+    this->effects.emplace_back(DeliverReply{.reply = std::move(reply)});
+    this->calls.erase(id);
+  }
+}
+
+void ControlClient::OnLeaderHint(const std::string& link) {
+  const auto found = std::ranges::find(this->options.links, link);
+  if (found != this->options.links.end()) {
+    this->current = static_cast<std::size_t>(
+        std::distance(this->options.links.begin(), found));
+  }
+}
+
+std::vector<ControlClientEffect> ControlClient::TakeEffects() {
+  return std::exchange(this->effects, {});
+}
+
+void ControlClient::Ask(OpenCall& open, TimePoint now) {
+  open.asked = this->leader_link();
+  open.answer_deadline = now + this->options.patience;
+  open.call.set_remaining_ms(
+      static_cast<std::uint32_t>(RemainingTime(now, open.deadline).count()));
+  this->effects.emplace_back(SendCall{.link = open.asked, .call = open.call});
+}
+
+void ControlClient::Rotate() {
+  this->current = (this->current + 1) % this->options.links.size();
+}
+
+}  // namespace savoryring
--- a/src/libtransport/http.cc
+++ b/src/libtransport/http.cc
@@ -24,9 +24,8 @@
   std::vector<HttpHeader> headers;
   const int count = u_map_count(map);
   for (int i = 0; i < count; ++i) {
-    headers.push_back(
-        {.name = map->keys[i],
-         .value = std::string(map->values[i], map->lengths[i])});
+    // The lengths of the map count the terminating zero byte.
+    headers.push_back({.name = map->keys[i], .value = map->values[i]});
   }
   return headers;
 }
@@ -130,8 +129,8 @@
   response.body = ResultBody(code, detail);
   response.headers.push_back(
       {.name = "Savoryring-Result", .value = std::to_string(NumberOf(code))});
-  response.headers.push_back({.name = "Savoryring-Not-Run",
-                              .value = info.not_run ? "true" : "false"});
+  response.headers.push_back(
+      {.name = "Savoryring-Not-Run", .value = info.not_run ? "true" : "false"});
   if (info.http_status == 503)
     response.headers.push_back({.name = "Retry-After", .value = "1"});
   return response;
@@ -161,8 +160,9 @@
                        ntohs(this->state->address.sin_port),
                        &this->state->address, nullptr);
   this->state->instance.max_post_body_size = options.body_limit_bytes + 1;
-  ulfius_set_default_endpoint(&this->state->instance, &HandleRequest,
-                              &this->state->handler);
+  // ulfius does not start without a list of endpoints; this one takes all.
+  ulfius_add_endpoint_by_val(&this->state->instance, "*", nullptr, "*", 0,
+                             &HandleRequest, &this->state->handler);
   if (ulfius_start_framework(&this->state->instance) != U_OK) {
     ulfius_clean_instance(&this->state->instance);
     throw Error(ResultCode::kAddressInUse, options.address);
--- a/src/libtransport/link.cc
+++ b/src/libtransport/link.cc
@@ -60,9 +60,9 @@
     return;
   }
   const std::string frame = this->Frame(kind, body);
-  const auto addressed = this->listener.send(
-      zmq::buffer(origin.identity),
-      zmq::send_flags::sndmore | zmq::send_flags::dontwait);
+  const auto addressed =
+      this->listener.send(zmq::buffer(origin.identity),
+                          zmq::send_flags::sndmore | zmq::send_flags::dontwait);
   if (!addressed)
     return;
   if (this->listener.send(zmq::buffer(frame), zmq::send_flags::dontwait))
@@ -86,9 +86,8 @@
     items.push_back({socket.handle(), 0, ZMQ_POLLIN, 0});
   zmq::poll(items, wait);
   std::uint64_t wakes = 0;
-  if (items[0].revents != 0)
-    [[maybe_unused]] const auto ignored =
-        read(this->wake_descriptor, &wakes, sizeof(wakes));
+  if (items[0].revents != 0) [[maybe_unused]]
+    const auto ignored = read(this->wake_descriptor, &wakes, sizeof(wakes));
   std::vector<Received> received;
   if (items[1].revents != 0)
     this->DrainListener(received);
--- /dev/null
+++ b/src/savoryringd/control_api.cc
@@ -0,0 +1,323 @@
+#include "savoryringd/control_api.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
+
+#include "libbase/json_checker.h"
+
+namespace savoryring {
+namespace {
+
+using nlohmann::json;
+
+std::vector<std::string> SplitPath(const std::string& path) {
+  std::vector<std::string> parts;
+  std::size_t from = 1;
+  while (from <= path.size()) {
+    const std::size_t to = std::min(path.find('/', from), path.size());
+    if (to > from)
+      parts.push_back(path.substr(from, to - from));
+    from = to + 1;
+  }
+  return parts;
+}
+
+std::string Dump(const json& value) {
+  return value.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
+}
+
+wire::ControlReply JsonReply(int status, const json& value) {
+  wire::ControlReply reply;
+  reply.set_status(static_cast<std::uint32_t>(status));
+  reply.set_body(Dump(value));
+  return reply;
+}
+
+// --- Requests that change something ---
+
+wire::Command ReadSubmitEstate(const std::string& body) {
+  const json document = ParseJson(body);
+  ProblemList problems;
+  const ObjectView view(document, "", problems);
+  view.AllowKeys({"version", "request_id", "estate"});
+  wire::Command command;
+  wire::SubmitEstate* submit = command.mutable_submit_estate();
+  submit->set_version(
+      view.Integer("version", 0, {.least = 1, .most = UINT64_MAX >> 1U}));
+  submit->set_request_id(view.String("request_id", false));
+  if (!view.Has("version"))
+    view.Report(ResultCode::kMissingKey, "version", "required key is missing");
+  if (!view.Has("estate"))
+    view.Report(ResultCode::kMissingKey, "estate", "required key is missing");
+  problems.ThrowIfAny();
+  submit->set_text(document["estate"].dump());
+  ParseEstate(submit->text());
+  return command;
+}
+
+void RequireTeam(const Estate& estate, const std::string& team) {
+  if (std::ranges::find(estate.teams, team, &TeamSpec::name) ==
+      estate.teams.end())
+    throw Error(ResultCode::kUnknownTeam, team);
+}
+
+wire::Command ReadSubmitTask(const std::string& body, const Estate& estate) {
+  const json document = ParseJson(body);
+  ProblemList problems;
+  const ObjectView view(document, "", problems);
+  view.AllowKeys({"class", "team", "key", "urgent", "command"});
+  const std::string class_name = view.String("class", true);
+  const std::string team = view.String("team", false);
+  const std::string command_text = view.String("command", false);
+  const std::string key = view.String("key", false);
+  const bool urgent = view.Boolean("urgent", false);
+  problems.ThrowIfAny();
+  const auto found =
+      std::ranges::find(estate.task_classes, class_name, &WorkSpec::name);
+  if (found == estate.task_classes.end())
+    throw Error(ResultCode::kUnknownTaskClass, class_name);
+  WorkSpec spec = *found;
+  if (!team.empty())
+    spec.team = team;
+  RequireTeam(estate, spec.team);
+  if (!command_text.empty())
+    spec.command = command_text;
+  spec.urgent = spec.urgent || urgent;
+  wire::Command command;
+  wire::SubmitTask* submit = command.mutable_submit_task();
+  submit->set_key(key);
+  *submit->mutable_spec() = ToTaskSpec(spec);
+  submit->mutable_spec()->set_task_class(class_name);
+  return command;
+}
+
+wire::Command ReadClaim(const wire::ControlCall& call) {
+  wire::ClaimRecord claim;
+  if (!claim.ParseFromString(call.body()) || claim.key().empty())
+    throw Error(ResultCode::kDamagedMessage, "claim");
+  wire::Command command;
+  wire::ClaimKey* body = call.method() == "CLAIM"
+                             ? command.mutable_claim_key()
+                             : command.mutable_settle_claim();
+  *body->mutable_claim() = std::move(claim);
+  return command;
+}
+
+// --- Requests that read ---
+
+json ResourcesToJson(const Resources& resources) {
+  return {{"processors", resources.processors},
+          {"memory_mb", resources.memory_mb},
+          {"accelerators", resources.accelerators}};
+}
+
+json TaskToJson(const wire::TaskRecord& task, const ControlView& view) {
+  json shown{{"task", task.id()},
+             {"state", NameOf(task.state())},
+             {"team", task.spec().team()},
+             {"monitor", task.spec().monitor()},
+             {"repeatable", task.spec().repeatable()},
+             {"urgent", task.spec().urgent()},
+             {"epoch", task.epoch()},
+             {"worker", task.worker()},
+             {"checkpoint", task.checkpoint()},
+             {"evictions", task.evictions()},
+             {"share", task.share()}};
+  if (task.state() == wire::TASK_STATE_ASSIGNED) {
+    shown["running"] = view.scheduler.watch().IsRunning(
+        task.worker(), task.id(), task.epoch());
+  }
+  return shown;
+}
+
+std::string ExplainNow(const wire::TaskRecord& task, const ControlView& view) {
+  switch (task.state()) {
+    case wire::TASK_STATE_PENDING: {
+      const std::string why = view.scheduler.WhyPending(task.id());
+      return "it is pending: " +
+             (why.empty() ? "it is about to be placed" : why);
+    }
+    case wire::TASK_STATE_ASSIGNED:
+      return "it is on worker " + task.worker() + " in epoch " +
+             std::to_string(task.epoch());
+    case wire::TASK_STATE_STOPPING:
+      return "it is being stopped on worker " + task.worker();
+    case wire::TASK_STATE_PARKED:
+      return "it can't run: " + task.parked_why();
+    case wire::TASK_STATE_OUTCOME_UNKNOWN:
+      return "whether it finished is not known; it is not repeatable, so an "
+             "operator must decide";
+    default:
+      return "it is " + NameOf(task.state());
+  }
+}
+
+json ExplainTask(const wire::TaskRecord& task, const ControlView& view) {
+  json steps = json::array();
+  for (const wire::TaskStep& step : task.steps()) {
+    steps.push_back({{"log_index", step.index()},
+                     {"what", step.what()},
+                     {"worker", step.worker()},
+                     {"epoch", step.epoch()},
+                     {"why", step.why()}});
+  }
+  json shown = TaskToJson(task, view);
+  shown["now"] = ExplainNow(task, view);
+  shown["steps"] = std::move(steps);
+  return shown;
+}
+
+json WorkerToJson(const std::string& id,
+                  const WorkerState& worker,
+                  const ControlView& view) {
+  const LiveWorker* live = view.scheduler.watch().Find(id);
+  json shown{
+      {"worker", id},
+      {"rack", worker.record.description().rack()},
+      {"availability_zone", worker.record.description().availability_zone()},
+      {"capacity", ResourcesToJson(worker.capacity)},
+      {"committed", ResourcesToJson(worker.committed)},
+      {"tasks", worker.tasks.size()},
+      {"lost", worker.record.lost()},
+      {"quarantined", worker.record.quarantined()},
+      {"draining", worker.record.draining()},
+      {"leaving", worker.record.leaving()}};
+  shown["lease_remaining_ms"] =
+      live == nullptr ? 0 : RemainingTime(view.now, live->lease_bound).count();
+  return shown;
+}
+
+json StatusToJson(const ControlView& view) {
+  json workers = json::array();
+  for (const auto& [id, worker] : view.state.workers())
+    workers.push_back(WorkerToJson(id, worker, view));
+  std::map<std::string, std::size_t> counts;
+  for (const auto& [id, task] : view.state.tasks())
+    counts[NameOf(task.state())] += 1;
+  json replicas = json::array();
+  for (const MemberId& member : view.replica.voters()) {
+    replicas.push_back({{"id", member.id},
+                        {"incarnation", std::to_string(member.incarnation)}});
+  }
+  return {{"leader", view.replica.self().id},
+          {"term", view.replica.term()},
+          {"commit_index", view.replica.commit_index()},
+          {"first_index", view.replica.first_index()},
+          {"replicas", std::move(replicas)},
+          {"revision", view.state.estate().revision()},
+          {"tasks", counts},
+          {"claims", view.state.claims().claims().size()},
+          {"workers", std::move(workers)}};
+}
+
+json InForceToJson(const ControlView& view) {
+  json processes = json::array();
+  bool everywhere = true;
+  const std::uint64_t revision = view.state.estate().revision();
+  for (const auto& [name, process] : view.processes) {
+    if (view.now >= process.valid_until)
+      continue;
+    everywhere = everywhere && process.revision >= revision;
+    processes.push_back({{"process", name}, {"revision", process.revision}});
+  }
+  return {{"revision", revision},
+          {"in_force_everywhere", everywhere},
+          {"processes", std::move(processes)}};
+}
+
+const wire::TaskRecord& RequireTask(const ControlView& view,
+                                    const std::string& id) {
+  const wire::TaskRecord* task = view.state.FindTask(id);
+  if (task == nullptr)
+    throw Error(ResultCode::kUnknownTask, id);
+  return *task;
+}
+
+json AllTasks(const ControlView& view) {
+  json tasks = json::array();
+  for (const auto& [id, task] : view.state.tasks())
+    tasks.push_back(TaskToJson(task, view));
+  return tasks;
+}
+
+json EstateToJson(const EstateState& estate) {
+  return {{"version", estate.revision()},
+          {"estate", json::parse(estate.text())}};
+}
+
+}  // namespace
+
+std::optional<wire::Command> ReadCommand(const wire::ControlCall& call,
+                                         const ControlView& view) {
+  const std::vector<std::string> path = SplitPath(call.path());
+  const std::string& method = call.method();
+  if (method == "GET")
+    return std::nullopt;
+  if (method == "CLAIM" || method == "SETTLE")
+    return ReadClaim(call);
+  const std::string first = path.empty() ? "" : path[0];
+  wire::Command command;
+  if (method == "POST" && first == "estate" && path.size() == 1)
+    return ReadSubmitEstate(call.body());
+  if (method == "POST" && first == "tasks" && path.size() == 1)
+    return ReadSubmitTask(call.body(), view.state.estate().estate());
+  if (method == "DELETE" && first == "tasks" && path.size() == 2) {
+    RequireTask(view, path[1]);
+    command.mutable_cancel_task()->set_task(path[1]);
+    return command;
+  }
+  const bool drain =
+      path.size() == 3 && first == "workers" && path[2] == "drain";
+  if (drain && (method == "POST" || method == "DELETE")) {
+    command.mutable_drain_worker()->set_worker(path[1]);
+    command.mutable_drain_worker()->set_draining(method == "POST");
+    return command;
+  }
+  throw Error(ResultCode::kWrongMethod, method + " " + call.path());
+}
+
+wire::ControlReply AnswerRead(const wire::ControlCall& call,
+                              const ControlView& view) {
+  const std::vector<std::string> path = SplitPath(call.path());
+  const std::string first = path.empty() ? "" : path[0];
+  if (first == "estate" && path.size() == 1)
+    return JsonReply(200, EstateToJson(view.state.estate()));
+  if (first == "estate" && path.size() == 2 && path[1] == "in-force")
+    return JsonReply(200, InForceToJson(view));
+  if (first == "status" && path.size() == 1)
+    return JsonReply(200, StatusToJson(view));
+  if (first == "tasks" && path.size() == 1)
+    return JsonReply(200, AllTasks(view));
+  if (first == "tasks" && path.size() == 2)
+    return JsonReply(200, TaskToJson(RequireTask(view, path[1]), view));
+  if (first == "tasks" && path.size() == 3 && path[2] == "explain")
+    return JsonReply(200, ExplainTask(RequireTask(view, path[1]), view));
+  throw Error(ResultCode::kNotFound, call.path());
+}
+
+wire::ControlReply AnswerApplied(const wire::ControlCall& call,
+                                 const ApplyResult& result) {
+  if (result.code != ResultCode::kOk)
+    return MakeErrorReply(result.code, result.task);
+  if (call.method() == "CLAIM" || call.method() == "SETTLE") {
+    wire::ControlReply reply;
+    reply.set_status(200);
+    reply.set_body(result.claim.SerializeAsString());
+    return reply;
+  }
+  if (!result.task.empty())
+    return JsonReply(202, {{"task", result.task}});
+  return JsonReply(200, {{"accepted", true}});
+}
+
+wire::ControlReply MakeErrorReply(ResultCode code, const std::string& detail) {
+  wire::ControlReply reply;
+  reply.set_status(static_cast<std::uint32_t>(InfoOf(code).http_status));
+  reply.set_result_code(static_cast<std::uint32_t>(NumberOf(code)));
+  reply.set_body(ResultBody(code, detail));
+  return reply;
+}
+
+}  // namespace savoryring
