--- a/src/savoryringd/control_api.cc
+++ b/src/libcontrol/control_api.cc
@@ -1,4 +1,4 @@
-#include "savoryringd/control_api.h"
+#include "libcontrol/control_api.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/src/savoryringd/control_api.h
+++ b/src/libcontrol/control_api.h
@@ -1,7 +1,7 @@
 /// The operators' and callers' requests to the control group: reads them into
 /// commands and shows the state as JSON. No state of its own.
-#ifndef SAVORYRING_SAVORYRINGD_CONTROL_API_H_
-#define SAVORYRING_SAVORYRINGD_CONTROL_API_H_
+#ifndef SAVORYRING_LIBCONTROL_CONTROL_API_H_
+#define SAVORYRING_LIBCONTROL_CONTROL_API_H_
 
 #include <map>
 #include <optional>
@@ -47,4 +47,4 @@
 
 }  // namespace savoryring
 
-#endif  // SAVORYRING_SAVORYRINGD_CONTROL_API_H_
+#endif  // SAVORYRING_LIBCONTROL_CONTROL_API_H_
--- /dev/null
+++ b/src/libcontrol/control_core.cc
@@ -0,0 +1,278 @@
+#include "libcontrol/control_core.h"
+
+#include <utility>
+
+namespace savoryring {
+namespace {
+
+constexpr Milliseconds kDecideInterval{20};
+// How long a process counts as live after its last message.
+constexpr Milliseconds kProcessValid{3000};
+
+}  // namespace
+
+ControlCore::ControlCore(ControlOptions options,
+                         StoredReplica stored,
+                         TimePoint now)
+    : options(std::move(options)),
+      log_replica(this->options.replica, std::move(stored), now),
+      control_state(this->options.mutations) {
+  const std::string& snapshot = this->log_replica.snapshot_state();
+  if (!snapshot.empty()) {
+    wire::ControlSnapshot saved;
+    if (!saved.ParseFromString(snapshot))
+      throw Error(ResultCode::kDamagedLog, "the snapshot can't be read");
+    this->control_state.Restore(saved);
+  }
+  this->applied = this->log_replica.first_index() - 1;
+}
+
+void ControlCore::OnReplicaMessage(const wire::ReplicaMessage& message,
+                                   TimePoint now) {
+  this->log_replica.Receive(message, now);
+}
+
+void ControlCore::OnHeartbeat(const wire::WorkerHeartbeat& heartbeat,
+                              std::uint64_t incarnation,
+                              TimePoint now) {
+  const std::string& id = heartbeat.worker().id();
+  this->FollowLeadership();
+  if (!this->Serves(now)) {
+    SendOrders refusal{.worker = id};
+    refusal.orders.set_leader_link(this->LeaderLink());
+    this->effects.emplace_back(std::move(refusal));
+    return;
+  }
+  this->orders_sent[id] = heartbeat.orders_version();
+  this->Propose(this->scheduler->OnHeartbeat(this->control_state, heartbeat,
+                                             incarnation, now));
+  const bool lease =
+      this->scheduler->MayGrantLease(this->control_state, id, incarnation);
+  this->AddOrders(id, heartbeat.sent_boottime_ns(), lease);
+}
+
+void ControlCore::OnCall(const wire::ControlCall& call,
+                         std::uint64_t ticket,
+                         TimePoint now) {
+  this->FollowLeadership();
+  if (!this->Serves(now)) {
+    ReplyToCall refusal{.ticket = ticket,
+                        .reply = MakeErrorReply(ResultCode::kNoLeader, "")};
+    refusal.reply.set_leader_link(this->LeaderLink());
+    this->effects.emplace_back(std::move(refusal));
+    return;
+  }
+  try {
+    const ControlView view = this->View(now);
+    const auto command = ReadCommand(call, view);
+    if (!command) {
+      this->effects.emplace_back(
+          ReplyToCall{.ticket = ticket, .reply = AnswerRead(call, view)});
+      return;
+    }
+    const auto index = this->log_replica.Propose(command->SerializeAsString());
+    this->pending_calls[*index] = {
+        .call = call, .term = this->log_replica.term(), .ticket = ticket};
+  } catch (const Error& failure) {
+    if (call.path() == "/estate")
+      this->Note(Event::kEstateRejected, failure.what());
+    this->effects.emplace_back(
+        ReplyToCall{.ticket = ticket,
+                    .reply = MakeErrorReply(failure.code(), failure.what())});
+  }
+}
+
+void ControlCore::OnProcess(const std::string& name,
+                            std::uint64_t revision,
+                            TimePoint now) {
+  this->processes[name] = {.revision = revision,
+                           .valid_until = now + kProcessValid};
+}
+
+void ControlCore::OnTick(TimePoint now) {
+  this->log_replica.Tick(now);
+  this->FollowLeadership();
+  const bool decide = this->Serves(now) && now >= this->decide_deadline &&
+                      this->applied >= this->decision_index;
+  if (!decide)
+    return;
+  this->decide_deadline = now + kDecideInterval;
+  this->Propose(this->scheduler->Decide(this->control_state, now));
+  this->decision_index = this->log_replica.last_index();
+}
+
+void ControlCore::FollowLeadership() {
+  const bool leads = this->log_replica.IsLeader();
+  const std::uint64_t term = this->log_replica.term();
+  const bool lost =
+      this->was_leader && (!leads || this->scheduled_term != term);
+  if (lost) {
+    this->Note(Event::kLostLeadership,
+               "term " + std::to_string(this->scheduled_term));
+    // What became of these entries, the next leader knows.
+    for (const auto& [index, pending] : this->pending_calls) {
+      this->effects.emplace_back(
+          ReplyToCall{.ticket = pending.ticket,
+                      .reply = MakeErrorReply(ResultCode::kNoLeader, "")});
+    }
+    this->pending_calls.clear();
+  }
+  if (leads && this->scheduled_term != term) {
+    this->scheduled_term = term;
+    this->decision_index = 0;
+    this->orders_sent.clear();
+    this->scheduler.emplace(this->options.scheduler,
+                            this->log_replica.led_since());
+    this->Note(Event::kBecameLeader, "term " + std::to_string(term));
+  }
+  this->was_leader = leads;
+}
+
+ReplicaOutput ControlCore::TakeOutput(TimePoint now) {
+  return this->log_replica.TakeOutput(now);
+}
+
+void ControlCore::OnStored(const ReplicaOutput& output, TimePoint now) {
+  if (output.NeedsStore())
+    this->log_replica.OnStored(now);
+  if (output.restore)
+    this->Restore(*output.snapshot);
+  for (const wire::LogEntry& entry : output.committed)
+    this->ApplyCommitted(entry);
+  this->settled = !output.NeedsStore() && output.committed.empty();
+  if (!output.committed.empty())
+    this->CompactIfLong();
+}
+
+std::vector<ControlEffect> ControlCore::TakeEffects(TimePoint now) {
+  const auto changed = this->control_state.TakeChangedWorkers();
+  if (this->Serves(now)) {
+    for (const std::string& worker : changed) {
+      if (this->orders_sent.contains(worker))
+        this->AddOrders(worker, 0, false);
+    }
+  }
+  return std::exchange(this->effects, {});
+}
+
+void ControlCore::ApplyCommitted(const wire::LogEntry& entry) {
+  this->applied = entry.index();
+  if (entry.has_membership()) {
+    std::string voters;
+    for (const wire::Member& voter : entry.membership().voters())
+      voters += (voters.empty() ? "" : " ") + voter.id();
+    this->Note(
+        entry.index() == 1 ? Event::kGroupFormed : Event::kReplicaReplaced,
+        voters);
+  }
+  ApplyResult result;
+  if (!entry.command().empty())
+    this->ApplyCommand(entry, result);
+  const auto found = this->pending_calls.find(entry.index());
+  if (found == this->pending_calls.end())
+    return;
+  const PendingCall& pending = found->second;
+  this->effects.emplace_back(
+      ReplyToCall{.ticket = pending.ticket,
+                  .reply = pending.term == entry.term()
+                               ? AnswerApplied(pending.call, result)
+                               : MakeErrorReply(ResultCode::kNoLeader, "")});
+  this->pending_calls.erase(found);
+}
+
+void ControlCore::ApplyCommand(const wire::LogEntry& entry,
+                               ApplyResult& result) {
+  wire::Command command;
+  if (!command.ParseFromString(entry.command()))
+    throw Error(ResultCode::kDamagedLog, "a committed command");
+  const std::uint64_t before = this->control_state.estate().revision();
+  result = this->control_state.Apply(command, entry.index());
+  const std::uint64_t after = this->control_state.estate().revision();
+  if (after != before)
+    this->Note(Event::kEstateApplied, "revision " + std::to_string(after));
+  if (command.has_lose_worker() && result.code == ResultCode::kOk)
+    this->Note(Event::kWorkerLost, command.lose_worker().worker());
+  if (command.has_register_worker()) {
+    this->Note(Event::kWorkerRegistered,
+               command.register_worker().description().id());
+  }
+  if (command.has_park_task() && result.code == ResultCode::kOk)
+    this->Note(Event::kTaskParked, command.park_task().task());
+}
+
+void ControlCore::Restore(const wire::Snapshot& snapshot) {
+  wire::ControlSnapshot saved;
+  if (!saved.ParseFromString(snapshot.state()))
+    throw Error(ResultCode::kDamagedLog, "a received snapshot");
+  this->control_state.Restore(saved);
+  this->applied = snapshot.index();
+}
+
+void ControlCore::Propose(const std::vector<wire::Command>& commands) {
+  for (const wire::Command& command : commands)
+    this->log_replica.Propose(command.SerializeAsString());
+}
+
+void ControlCore::CompactIfLong() {
+  const std::uint64_t limit = this->options.snapshot_after_entries;
+  if (this->applied + 1 < this->log_replica.first_index() + limit)
+    return;
+  this->log_replica.Compact(this->applied,
+                            this->control_state.Save().SerializeAsString());
+  this->Note(Event::kSnapshotTaken, "index " + std::to_string(this->applied));
+}
+
+void ControlCore::AddOrders(const std::string& worker,
+                            std::uint64_t echo,
+                            bool lease) {
+  SendOrders effect{.worker = worker};
+  wire::WorkerOrders& orders = effect.orders;
+  orders.set_sent_boottime_ns(echo);
+  if (lease) {
+    orders.set_lease_ms(static_cast<std::uint32_t>(
+        this->options.scheduler.watch.lease.count()));
+  }
+  const WorkerState* known = this->control_state.FindWorker(worker);
+  const std::uint64_t version =
+      known == nullptr ? 0 : known->record.orders_version();
+  orders.set_version(version);
+  std::uint64_t& sent = this->orders_sent[worker];
+  if (version != sent) {
+    orders.set_has_orders(true);
+    for (wire::TaskOrder& order : this->control_state.OrdersFor(worker))
+      *orders.add_orders() = std::move(order);
+    sent = version;
+  }
+  this->effects.emplace_back(std::move(effect));
+}
+
+bool ControlCore::Serves(TimePoint now) const {
+  return this->scheduler && this->log_replica.IsCaughtUp() &&
+         this->scheduled_term == this->log_replica.term() &&
+         this->log_replica.HasLease(now);
+}
+
+bool ControlCore::IsReady(TimePoint now) const {
+  return this->log_replica.IsVoter() &&
+         (this->Serves(now) || !this->log_replica.leader_id().empty());
+}
+
+std::string ControlCore::LeaderLink() const {
+  const auto found =
+      this->options.replica_links.find(this->log_replica.leader_id());
+  return found == this->options.replica_links.end() ? "" : found->second;
+}
+
+void ControlCore::Note(Event event, const std::string& detail) {
+  this->effects.emplace_back(NoteEvent{.event = event, .detail = detail});
+}
+
+ControlView ControlCore::View(TimePoint now) const {
+  return {.state = this->control_state,
+          .scheduler = *this->scheduler,
+          .replica = this->log_replica,
+          .processes = this->processes,
+          .now = now};
+}
+
+}  // namespace savoryring
--- a/src/libmembership/worker_watch.cc
+++ b/src/libmembership/worker_watch.cc
@@ -31,6 +31,7 @@
   worker.incarnation = incarnation;
   if (may_grant)
     worker.lease_bound = now + this->BoundedLease();
+  worker.heard_bound = now + this->BoundedLease();
   worker.leaving = heartbeat.leaving();
   worker.running.clear();
   for (const wire::TaskReport& report : heartbeat.reports()) {
@@ -46,12 +47,12 @@
     worker.measurements[item.service()] = item;
 }
 
-bool WorkerWatch::LeaseHasEnded(const std::string& worker,
-                                TimePoint now) const {
+bool WorkerWatch::IsLost(const std::string& worker, TimePoint now) const {
   if (now < this->predecessor_bound)
     return false;
   const LiveWorker* found = this->Find(worker);
-  return found == nullptr || now >= found->lease_bound;
+  return found == nullptr ||
+         now >= std::max(found->lease_bound, found->heard_bound);
 }
 
 bool WorkerWatch::IsRunning(const std::string& worker,
--- a/src/libmembership/worker_watch.h
+++ b/src/libmembership/worker_watch.h
@@ -29,6 +29,8 @@
   /// Until then the worker may act on a lease, by the leader's clock and with
   /// the allowance for clocks that differ in speed.
   TimePoint lease_bound;
+  /// Until then the worker counts as present, whether it had a lease or not.
+  TimePoint heard_bound;
   bool leaving = false;
   std::set<std::string> running;  ///< "TASK@EPOCH" as last reported.
   std::set<std::string> serving;  ///< Services of the VM's endpoint.
@@ -47,9 +49,9 @@
                    bool may_grant,
                    TimePoint now);
 
-  /// Whether no lease of the worker, this leader's or a predecessor's, can
-  /// still be in force.
-  bool LeaseHasEnded(const std::string& worker, TimePoint now) const;
+  /// Whether the worker has been silent for a lease's length, and no lease of
+  /// it, this leader's or a predecessor's, can still be in force.
+  bool IsLost(const std::string& worker, TimePoint now) const;
   bool IsRunning(const std::string& worker,
                  const std::string& task,
                  std::uint64_t epoch) const;
--- a/src/libplacement/control_state.cc
+++ b/src/libplacement/control_state.cc
@@ -122,6 +122,14 @@
   }
 }
 
+bool IsLateNews(const wire::TaskRecord& task, const wire::TaskReport& report) {
+  const bool ended = report.state() == wire::TASK_FINISHED ||
+                     report.state() == wire::TASK_FAILED ||
+                     report.state() == wire::TASK_STOPPED;
+  return task.state() == wire::TASK_STATE_OUTCOME_UNKNOWN &&
+         task.epoch() == report.epoch() && ended;
+}
+
 ControlState::ControlState(ControlMutations mutations) : mutations(mutations) {}
 
 ApplyResult ControlState::Apply(const wire::Command& command,
@@ -318,9 +326,10 @@
   return {};
 }
 
-// The lease of the worker has surely ended, so the task runs nowhere. What it
-// did since its checkpoint is lost; work that must not be done twice only goes
-// on from a checkpoint.
+// The lease of the worker has surely ended, so the task runs nowhere. Whether
+// it had finished is not known. Work that must not be done twice waits until
+// its worker comes back and tells, or an operator decides; an older checkpoint
+// does not help, as the lost run may have gone on from it to the end.
 void ControlState::LoseTask(wire::TaskRecord& task) {
   const std::string lost = task.worker();
   const bool final_stop = task.state() == wire::TASK_STATE_STOPPING &&
@@ -331,14 +340,10 @@
     this->AddStep(task, "cancelled", lost + " lost it while it was stopped");
     return;
   }
-  const bool may_run_again =
-      MayRunTwice(task.spec()) || !task.checkpoint().empty();
-  if (!may_run_again) {
+  if (!MayRunTwice(task.spec())) {
     this->SetState(task, wire::TASK_STATE_OUTCOME_UNKNOWN);
     this->AddStep(task, "outcome unknown",
-                  lost +
-                      " was lost or lost the task; it is not repeatable "
-                      "and has no checkpoint");
+                  lost + " was lost or lost the task, which is not repeatable");
     return;
   }
   if (task.has_next_spec()) {
@@ -471,6 +476,10 @@
   if (found == this->task_records.end())
     return;
   wire::TaskRecord& task = found->second;
+  if (IsLateNews(task, report)) {
+    this->TakeLateNews(worker, task, report);
+    return;
+  }
   const bool current = HoldsWorker(task.state()) && task.worker() == worker &&
                        task.epoch() == report.epoch();
   if (!current && !this->mutations.ignore_epochs)
@@ -515,6 +524,23 @@
   }
 }
 
+// A worker that was taken for lost came back and tells how the run ended.
+// Nothing was started since, as the epoch is still the same.
+void ControlState::TakeLateNews(const std::string& worker,
+                                wire::TaskRecord& task,
+                                const wire::TaskReport& report) {
+  if (!report.checkpoint().empty())
+    task.set_checkpoint(report.checkpoint());
+  this->ended_tasks.erase(task.sequence());
+  if (report.state() == wire::TASK_FINISHED) {
+    this->SetState(task, wire::TASK_STATE_FINISHED);
+    this->AddStep(task, "finished", worker + " came back and told");
+    return;
+  }
+  this->SetState(task, wire::TASK_STATE_PENDING);
+  this->AddStep(task, "pending", worker + " came back; the run had stopped");
+}
+
 void ControlState::TakeFailure(wire::TaskRecord& task) {
   if (IsFinalStop(task.stop_cause())) {
     this->TakeStopped(task);
--- a/src/libplacement/control_state.h
+++ b/src/libplacement/control_state.h
@@ -94,6 +94,9 @@
   void ReviveForNewRevision(wire::TaskRecord& task);
   void Assign(const wire::Assignment& assignment);
   void TakeReport(const std::string& worker, const wire::TaskReport& report);
+  void TakeLateNews(const std::string& worker,
+                    wire::TaskRecord& task,
+                    const wire::TaskReport& report);
   void TakeFailure(wire::TaskRecord& task);
   void TakeStopped(wire::TaskRecord& task);
   void LoseTask(wire::TaskRecord& task);
@@ -130,6 +133,8 @@
 bool IsEnded(wire::TaskState state);
 /// Whether the task holds resources on a worker.
 bool HoldsWorker(wire::TaskState state);
+/// Whether the report tells how a run ended whose outcome was unknown.
+bool IsLateNews(const wire::TaskRecord& task, const wire::TaskReport& report);
 Resources ResourcesOf(const wire::TaskSpec& spec);
 wire::TaskSpec ToTaskSpec(const WorkSpec& spec);
 std::string NameOf(wire::TaskState state);
--- a/src/libplacement/scheduler.cc
+++ b/src/libplacement/scheduler.cc
@@ -58,7 +58,8 @@
                          task->epoch() == report.epoch();
     const bool news = report.state() != wire::TASK_RUNNING ||
                       (current && report.checkpoint() != task->checkpoint());
-    if (current && news)
+    const bool late = task != nullptr && IsLateNews(*task, report);
+    if ((current && news) || late)
       *reports.add_reports() = report;
   }
   if (reports.reports_size() > 0) {
@@ -99,7 +100,7 @@
                                   TimePoint now,
                                   std::vector<wire::Command>& commands) {
   for (const auto& [id, worker] : state.workers()) {
-    if (worker.record.lost() || !this->live.LeaseHasEnded(id, now))
+    if (worker.record.lost() || !this->live.IsLost(id, now))
       continue;
     wire::LoseWorker* command = commands.emplace_back().mutable_lose_worker();
     command->set_worker(id);
--- a/src/libplacement/task_runner.cc
+++ b/src/libplacement/task_runner.cc
@@ -11,6 +11,9 @@
 // Part of the lease after which the worker's own lease is renewed.
 constexpr int kRenewDivisor = 3;
 constexpr Milliseconds kStopRetry{500};
+// How long an ended run is told on that is in the orders no more: the leader
+// may have taken this worker for lost and not know how the run ended.
+constexpr Milliseconds kTellEnded{10'000};
 
 TaskRun RunOf(const wire::TaskOrder& order) {
   return {.task = order.task(), .epoch = order.epoch()};
@@ -32,8 +35,11 @@
   if (orders.has_orders() && orders.version() >= this->version) {
     this->version = orders.version();
     this->has_orders = true;
-    for (auto& [run, local] : this->runs)
+    for (auto& [run, local] : this->runs) {
+      if (local.ordered)
+        local.forget_deadline = now + kTellEnded;
       local.ordered = false;
+    }
     for (const wire::TaskOrder& order : orders.orders())
       this->TakeOrder(order, now);
   }
@@ -127,6 +133,8 @@
   local.phase = accepted ? Phase::kRunning : Phase::kMissing;
 }
 
+// A stop is also answered for a run that had just finished by itself: how the
+// run ended, the worker's next list tells.
 void TaskRunner::OnStopResult(const TaskRun& run,
                               bool stopped,
                               const std::string& checkpoint,
@@ -137,17 +145,16 @@
   LocalRun& local = found->second;
   if (!checkpoint.empty())
     local.checkpoint = checkpoint;
-  if (stopped)
-    this->End(local, wire::TASK_STOPPED);
-  else
+  if (!stopped)
     local.retry_deadline = now + kStopRetry;
 }
 
 void TaskRunner::OnTick(TimePoint now) {
   for (auto& [run, local] : this->runs)
     this->Advance(run, local, now);
-  std::erase_if(this->runs, [](const auto& item) {
-    return item.second.phase == Phase::kEnded && !item.second.ordered;
+  std::erase_if(this->runs, [now](const auto& item) {
+    return item.second.phase == Phase::kEnded && !item.second.ordered &&
+           now >= item.second.forget_deadline;
   });
   this->Renew(now);
 }
--- a/src/libplacement/task_runner.h
+++ b/src/libplacement/task_runner.h
@@ -71,7 +71,8 @@
                      TimePoint now);
   /// `accepted` is false where the worker refused or did not answer.
   void OnStartResult(const TaskRun& run, bool accepted, TimePoint now);
-  /// `stopped` is false where the worker did not answer.
+  /// `stopped` is false where the worker did not answer. The shell asks for
+  /// the worker's list soon after.
   void OnStopResult(const TaskRun& run,
                     bool stopped,
                     const std::string& checkpoint,
@@ -104,9 +105,10 @@
     wire::TaskRunState end = wire::TASK_RUN_UNKNOWN;
     std::string checkpoint;
     double applied_share = 1;
-    TimePoint start_answered;  // lists asked for before this don't count
-    TimePoint lease_given;     // latest lease end that the worker was given
-    TimePoint retry_deadline;  // when an unanswered stop is sent again
+    TimePoint start_answered;   // lists asked for before this don't count
+    TimePoint lease_given;      // latest lease end that the worker was given
+    TimePoint forget_deadline;  // until then an ended run is told on
+    TimePoint retry_deadline;   // when an unanswered stop is sent again
   };
 
   void TakeOrder(const wire::TaskOrder& order, TimePoint now);
--- a/src/savoryringd/control_duty.cc
+++ b/src/savoryringd/control_duty.cc
@@ -9,10 +9,7 @@
 namespace {
 
 constexpr Milliseconds kCallTimeout{5000};
-constexpr Milliseconds kDecideInterval{20};
 constexpr Milliseconds kPublishInterval{500};
-// How long a process counts as live after its last message.
-constexpr Milliseconds kProcessValid{3000};
 constexpr int kPatienceHeartbeats = 4;
 
 std::vector<std::string> IdsOf(const std::vector<ControlPeer>& controls) {
@@ -29,14 +26,25 @@
   return links;
 }
 
-ReplicaOptions MakeReplicaOptions(const Settings& settings,
-                                  const MemberId& self,
-                                  std::uint64_t seed) {
-  return {.self = self,
-          .listed = IdsOf(settings.controls),
-          .heartbeat = settings.timing.replica_heartbeat,
-          .election = settings.timing.election,
-          .seed = seed};
+std::map<std::string, std::string> LinksById(
+    const std::vector<ControlPeer>& controls) {
+  std::map<std::string, std::string> links;
+  for (const ControlPeer& peer : controls)
+    links[peer.id] = peer.link;
+  return links;
+}
+
+ControlOptions MakeOptions(const Settings& settings,
+                           const MemberId& self,
+                           std::uint64_t seed) {
+  return {.replica = {.self = self,
+                      .listed = IdsOf(settings.controls),
+                      .heartbeat = settings.timing.replica_heartbeat,
+                      .election = settings.timing.election,
+                      .seed = seed},
+          .scheduler = {.watch = {.lease = settings.timing.worker_lease}},
+          .snapshot_after_entries = settings.limits.snapshot_after_entries,
+          .replica_links = LinksById(settings.controls)};
 }
 
 bool IsReply(const wire::ReplicaMessage& message) {
@@ -54,29 +62,20 @@
       link({.bind_address = process.settings().control->link,
             .sender = process.settings().id,
             .incarnation = process.incarnation()}),
-      replica(MakeReplicaOptions(process.settings(),
-                                 this->store.self(),
-                                 process.Random()),
-              this->store.TakeStored(),
-              BootClock::now()),
+      core(
+          MakeOptions(process.settings(), this->store.self(), process.Random()),
+          this->store.TakeStored(),
+          BootClock::now()),
       client({.links = LinksOf(process.settings().controls)}),
       liveness(process.settings().timing.replica_heartbeat *
                kPatienceHeartbeats),
+      replica_links(LinksById(process.settings().controls)),
       loop(this->link, *this) {
+  this->link.SetRevision(this->core.state().estate().revision());
   if (this->store.cut_bytes() > 0) {
     LogEvent(Event::kTornTailCut,
              {{"bytes", std::to_string(this->store.cut_bytes())}});
   }
-  for (const ControlPeer& peer : process.settings().controls)
-    this->replica_links[peer.id] = peer.link;
-  const std::string& snapshot = this->replica.snapshot_state();
-  if (!snapshot.empty()) {
-    wire::ControlSnapshot stored;
-    if (!stored.ParseFromString(snapshot))
-      throw Error(ResultCode::kDamagedLog, "the snapshot can't be read");
-    this->state.Restore(stored);
-  }
-  this->applied_index = this->replica.first_index() - 1;
 }
 
 ControlDuty::~ControlDuty() {
@@ -98,7 +97,7 @@
 
 bool ControlDuty::IsIdle() {
   const auto idle =
-      this->loop.Ask<bool>([this] { return this->pending_calls.empty(); },
+      this->loop.Ask<bool>([this] { return !this->core.HasOpenCalls(); },
                            BootClock::now() + Milliseconds(200));
   return idle.value_or(false);
 }
@@ -147,35 +146,20 @@
       this->NoteProcess("endpoint", envelope, now);
       this->OnHeartbeat(message, now);
       return;
-    case wire::ENTRY_HEARTBEAT:
+    case wire::ENTRY_HEARTBEAT: {
       this->NoteProcess("entry", envelope, now);
-      this->OnEntryHeartbeat(message, now);
-      return;
-    case wire::ESTATE_FETCH: {
-      wire::EstateFetch fetch;
-      if (!fetch.ParseFromString(envelope.body()))
-        return;
-      const auto update = this->state.estate().ChangesSince(
-          fetch.known_revision(),
-          {fetch.sections().begin(), fetch.sections().end()});
+      const auto update = this->core.state().estate().ChangesSince(
+          envelope.revision(), {"services"});
       this->link.Reply(message.origin, wire::ESTATE_UPDATE,
                        update.SerializeAsString());
       return;
     }
-    case wire::CONTROL_CALL: {
-      wire::ControlCall call;
-      if (!call.ParseFromString(envelope.body()))
-        return;
-      const Origin origin = message.origin;
-      const std::uint64_t id = call.call_id();
-      const auto reply = [this, origin, id](wire::ControlReply answer) {
-        answer.set_call_id(id);
-        this->link.Reply(origin, wire::CONTROL_REPLY,
-                         answer.SerializeAsString());
-      };
-      this->HandleCall(call, reply, now);
+    case wire::ESTATE_FETCH:
+      this->OnEstateFetch(message);
+      return;
+    case wire::CONTROL_CALL:
+      this->OnControlCall(message, now);
       return;
-    }
     case wire::CONTROL_REPLY: {
       wire::ControlReply reply;
       if (reply.ParseFromString(envelope.body()))
@@ -187,32 +171,6 @@
   }
 }
 
-void ControlDuty::HandleCall(const wire::ControlCall& call,
-                             ReplyFunction reply,
-                             TimePoint now) {
-  if (!this->Serves(now)) {
-    wire::ControlReply refusal = MakeErrorReply(ResultCode::kNoLeader, "");
-    refusal.set_leader_link(this->LeaderLink());
-    reply(refusal);
-    return;
-  }
-  try {
-    const ControlView view = this->View(now);
-    const auto command = ReadCommand(call, view);
-    if (!command) {
-      reply(AnswerRead(call, view));
-      return;
-    }
-    const auto index = this->replica.Propose(command->SerializeAsString());
-    this->pending_calls[*index] = {
-        .call = call, .term = this->replica.term(), .reply = std::move(reply)};
-  } catch (const Error& failure) {
-    if (call.path() == "/estate")
-      LogEvent(Event::kEstateRejected, {{"why", failure.what()}});
-    reply(MakeErrorReply(failure.code(), failure.what()));
-  }
-}
-
 void ControlDuty::OnReplicaMessage(const Received& message, TimePoint now) {
   wire::ReplicaMessage body;
   if (!body.ParseFromString(message.envelope.body()))
@@ -221,181 +179,107 @@
   // peer replaces a silent connection, both directions are fresh.
   if (!message.origin.identity.empty())
     this->replica_origins[body.from().id()] = message.origin;
-  this->replica.Receive(body, now);
+  this->core.OnReplicaMessage(body, now);
 }
 
 void ControlDuty::OnHeartbeat(const Received& message, TimePoint now) {
   wire::WorkerHeartbeat heartbeat;
   if (!heartbeat.ParseFromString(message.envelope.body()))
     return;
-  if (!this->Serves(now)) {
-    wire::WorkerOrders orders;
-    orders.set_leader_link(this->LeaderLink());
-    this->link.Reply(message.origin, wire::WORKER_ORDERS,
-                     orders.SerializeAsString());
-    return;
-  }
-  const std::string& id = heartbeat.worker().id();
-  const std::uint64_t incarnation = message.envelope.incarnation();
-  WorkerLink& worker = this->worker_links[id];
-  worker.origin = message.origin;
-  worker.version = heartbeat.orders_version();
-  this->Propose(
-      this->scheduler->OnHeartbeat(this->state, heartbeat, incarnation, now));
-  const bool lease =
-      this->scheduler->MayGrantLease(this->state, id, incarnation);
-  this->SendOrders(id, heartbeat.sent_boottime_ns(), lease);
-}
-
-void ControlDuty::SendOrders(const std::string& worker,
-                             std::uint64_t echo,
-                             bool lease) {
-  WorkerLink& place = this->worker_links[worker];
-  const WorkerState* known = this->state.FindWorker(worker);
-  wire::WorkerOrders orders;
-  orders.set_sent_boottime_ns(echo);
-  if (lease) {
-    orders.set_lease_ms(static_cast<std::uint32_t>(
-        this->process->settings().timing.worker_lease.count()));
-  }
-  const std::uint64_t version =
-      known == nullptr ? 0 : known->record.orders_version();
-  orders.set_version(version);
-  if (version != place.version) {
-    orders.set_has_orders(true);
-    for (wire::TaskOrder& order : this->state.OrdersFor(worker))
-      *orders.add_orders() = std::move(order);
-    place.version = version;
-  }
-  this->link.Reply(place.origin, wire::WORKER_ORDERS,
-                   orders.SerializeAsString());
+  this->worker_origins[heartbeat.worker().id()] = message.origin;
+  this->core.OnHeartbeat(heartbeat, message.envelope.incarnation(), now);
 }
 
-void ControlDuty::OnEntryHeartbeat(const Received& message, TimePoint) {
-  const auto update = this->state.estate().ChangesSince(
-      message.envelope.revision(), {"services"});
+void ControlDuty::OnEstateFetch(const Received& message) {
+  wire::EstateFetch fetch;
+  if (!fetch.ParseFromString(message.envelope.body()))
+    return;
+  const auto update = this->core.state().estate().ChangesSince(
+      fetch.known_revision(),
+      {fetch.sections().begin(), fetch.sections().end()});
   this->link.Reply(message.origin, wire::ESTATE_UPDATE,
                    update.SerializeAsString());
 }
 
+void ControlDuty::OnControlCall(const Received& message, TimePoint now) {
+  wire::ControlCall call;
+  if (!call.ParseFromString(message.envelope.body()))
+    return;
+  const Origin origin = message.origin;
+  const std::uint64_t id = call.call_id();
+  this->tickets[++this->last_ticket] = [this, origin,
+                                        id](wire::ControlReply answer) {
+    answer.set_call_id(id);
+    this->link.Reply(origin, wire::CONTROL_REPLY, answer.SerializeAsString());
+  };
+  this->core.OnCall(call, this->last_ticket, now);
+}
+
 void ControlDuty::OnTick(TimePoint now) {
-  this->replica.Tick(now);
+  this->core.OnTick(now);
   this->client.OnTick(now);
-  this->FollowLeadership(now);
   for (const std::string& address : this->liveness.TakeSilent(now))
     this->link.Replace(address);
-  if (now >= this->publish_deadline) {
-    this->publish_deadline = now + kPublishInterval;
-    PublishLinkCounters("control_link", this->link.counters(),
-                        this->process->metrics());
-  }
-  this->ready = this->replica.IsVoter() &&
-                (this->Serves(now) || !this->replica.leader_id().empty());
-  const bool decide = this->Serves(now) && now >= this->decide_deadline &&
-                      this->applied_index >= this->decision_index;
-  if (!decide)
+  this->ready = this->core.IsReady(now);
+  if (now < this->publish_deadline)
     return;
-  this->decide_deadline = now + kDecideInterval;
-  this->Propose(this->scheduler->Decide(this->state, now));
-  this->decision_index = this->replica.last_index();
-}
-
-void ControlDuty::FollowLeadership(TimePoint now) {
-  const bool leads = this->replica.IsLeader();
-  if (leads && this->scheduled_term != this->replica.term()) {
-    this->scheduled_term = this->replica.term();
-    this->decision_index = 0;
-    this->worker_links.clear();
-    const SchedulerOptions options{
-        .watch = {.lease = this->process->settings().timing.worker_lease}};
-    this->scheduler.emplace(options, this->replica.led_since());
-    LogEvent(Event::kBecameLeader,
-             {{"term", std::to_string(this->replica.term())}});
-  }
-  if (this->was_leader && !leads) {
-    LogEvent(Event::kLostLeadership,
-             {{"term", std::to_string(this->replica.term())}});
-    auto calls = std::exchange(this->pending_calls, {});
-    for (auto& [index, pending] : calls)
-      pending.reply(MakeErrorReply(ResultCode::kNoLeader, ""));
-  }
-  this->was_leader = leads;
-  (void)now;
+  this->publish_deadline = now + kPublishInterval;
+  Metrics& metrics = this->process->metrics();
+  PublishLinkCounters("control_link", this->link.counters(), metrics);
+  metrics.SetGauge("control_applied_index",
+                   static_cast<double>(this->core.applied_index()));
+  metrics.SetGauge("control_serves", this->core.Serves(now) ? 1 : 0);
 }
 
 void ControlDuty::OnBatchEnd(TimePoint now) {
-  this->RunClientEffects(now);
-  this->FlushReplica(now);
+  this->RunClientEffects();
+  this->Flush(now);
+  this->RunEffects(now);
 }
 
-// Stores, then sends, then applies, until nothing more follows from it. One
-// sync serves everything that arrived since the last one.
-void ControlDuty::FlushReplica(TimePoint now) {
+// Stores, then sends, until nothing more follows from it. One sync serves
+// everything that arrived since the last one.
+void ControlDuty::Flush(TimePoint now) {
   while (true) {
-    ReplicaOutput output = this->replica.TakeOutput(now);
-    if (output.NeedsStore()) {
-      const TimePoint begin = BootClock::now();
-      this->store.Store(output, output.snapshot
-                                    ? this->replica.Entries()
-                                    : std::vector<wire::LogEntry>());
-      this->process->metrics().RecordLatency("control_log_sync",
-                                             BootClock::now() - begin);
-      this->replica.OnStored(now);
-    }
+    const ReplicaOutput output = this->core.TakeOutput(now);
+    if (output.NeedsStore())
+      this->Store(output);
+    this->core.OnStored(output, now);
     for (const OutgoingReplicaMessage& outgoing : output.messages)
       this->SendReplicaMessage(outgoing, now);
-    if (output.restore) {
-      wire::ControlSnapshot snapshot;
-      if (!snapshot.ParseFromString(output.snapshot->state()))
-        throw Error(ResultCode::kDamagedLog, "a received snapshot");
-      this->state.Restore(snapshot);
-      this->applied_index = output.snapshot->index();
-      this->link.SetRevision(this->state.estate().revision());
-    }
-    for (const wire::LogEntry& entry : output.committed)
-      this->ApplyCommitted(entry);
-    const bool more = output.NeedsStore() || !output.committed.empty();
-    if (!more)
+    if (this->core.IsSettled())
       break;
-    this->CompactIfLong();
-  }
-  if (!this->Serves(now))
-    return;
-  for (const std::string& worker : this->state.TakeChangedWorkers()) {
-    if (this->worker_links.contains(worker))
-      this->SendOrders(worker, 0, false);
   }
+  this->link.SetRevision(this->core.state().estate().revision());
 }
 
-void ControlDuty::ApplyCommitted(const wire::LogEntry& entry) {
-  this->applied_index = entry.index();
-  if (entry.has_membership())
-    LogEvent(Event::kGroupFormed,
-             {{"voters", std::to_string(entry.membership().voters_size())},
-              {"index", std::to_string(entry.index())}});
-  wire::Command command;
-  ApplyResult result;
-  if (!entry.command().empty()) {
-    if (!command.ParseFromString(entry.command()))
-      throw Error(ResultCode::kDamagedLog, "a committed command");
-    const std::uint64_t before = this->state.estate().revision();
-    result = this->state.Apply(command, entry.index());
-    const std::uint64_t after = this->state.estate().revision();
-    if (after != before) {
-      this->link.SetRevision(after);
-      LogEvent(Event::kEstateApplied, {{"revision", std::to_string(after)}});
+void ControlDuty::Store(const ReplicaOutput& output) {
+  const TimePoint begin = BootClock::now();
+  this->store.Store(output, output.snapshot ? this->core.replica().Entries()
+                                            : std::vector<wire::LogEntry>());
+  this->process->metrics().RecordLatency("control_log_sync",
+                                         BootClock::now() - begin);
+}
+
+void ControlDuty::RunEffects(TimePoint now) {
+  for (const ControlEffect& effect : this->core.TakeEffects(now)) {
+    if (const auto* orders = std::get_if<SendOrders>(&effect)) {
+      const auto origin = this->worker_origins.find(orders->worker);
+      if (origin != this->worker_origins.end()) {
+        this->link.Reply(origin->second, wire::WORKER_ORDERS,
+                         orders->orders.SerializeAsString());
+      }
+    } else if (const auto* reply = std::get_if<ReplyToCall>(&effect)) {
+      const auto found = this->tickets.find(reply->ticket);
+      if (found == this->tickets.end())
+        continue;
+      found->second(reply->reply);
+      this->tickets.erase(found);
+    } else {
+      const auto& note = std::get<NoteEvent>(effect);
+      LogEvent(note.event, {{"what", note.detail}});
     }
-    this->process->metrics().Count("control_commands_applied");
   }
-  const auto found = this->pending_calls.find(entry.index());
-  if (found == this->pending_calls.end())
-    return;
-  const PendingCall pending = std::move(found->second);
-  this->pending_calls.erase(found);
-  if (pending.term == entry.term())
-    pending.reply(AnswerApplied(pending.call, result));
-  else
-    pending.reply(MakeErrorReply(ResultCode::kNoLeader, ""));
 }
 
 void ControlDuty::SendReplicaMessage(const OutgoingReplicaMessage& outgoing,
@@ -414,7 +298,7 @@
   this->liveness.OnSent(address->second, now);
 }
 
-void ControlDuty::RunClientEffects(TimePoint) {
+void ControlDuty::RunClientEffects() {
   for (const ControlClientEffect& effect : this->client.TakeEffects()) {
     if (const auto* send = std::get_if<SendCall>(&effect)) {
       this->link.Send(send->link, wire::CONTROL_CALL,
@@ -428,49 +312,11 @@
   }
 }
 
-void ControlDuty::Propose(const std::vector<wire::Command>& commands) {
-  for (const wire::Command& command : commands)
-    this->replica.Propose(command.SerializeAsString());
-}
-
-void ControlDuty::CompactIfLong() {
-  const std::uint64_t limit =
-      this->process->settings().limits.snapshot_after_entries;
-  if (this->applied_index + 1 < this->replica.first_index() + limit)
-    return;
-  this->replica.Compact(this->applied_index,
-                        this->state.Save().SerializeAsString());
-  LogEvent(Event::kSnapshotTaken,
-           {{"index", std::to_string(this->applied_index)}});
-}
-
 void ControlDuty::NoteProcess(const std::string& duty,
                               const wire::Envelope& envelope,
                               TimePoint now) {
-  ProcessRevision& known = this->processes[duty + " " + envelope.sender()];
-  known.revision = envelope.revision();
-  known.valid_until = now + kProcessValid;
-}
-
-// Only a leader that surely is the only one, and that has applied all that
-// earlier leaders committed, answers and grants.
-bool ControlDuty::Serves(TimePoint now) const {
-  return this->scheduler && this->replica.IsCaughtUp() &&
-         this->scheduled_term == this->replica.term() &&
-         this->replica.HasLease(now);
-}
-
-std::string ControlDuty::LeaderLink() const {
-  const auto found = this->replica_links.find(this->replica.leader_id());
-  return found == this->replica_links.end() ? "" : found->second;
-}
-
-ControlView ControlDuty::View(TimePoint now) const {
-  return {.state = this->state,
-          .scheduler = *this->scheduler,
-          .replica = this->replica,
-          .processes = this->processes,
-          .now = now};
+  this->core.OnProcess(duty + " " + envelope.sender(), envelope.revision(),
+                       now);
 }
 
 }  // namespace savoryring
--- a/src/savoryringd/control_duty.h
+++ b/src/savoryringd/control_duty.h
@@ -1,5 +1,5 @@
-/// The control duty: shell around a replica of the log, the state machine
-/// made from it and, while leading, the scheduler.
+/// The control duty: shell around the control core, with its link, its HTTP
+/// and its files.
 #ifndef SAVORYRING_SAVORYRINGD_CONTROL_DUTY_H_
 #define SAVORYRING_SAVORYRINGD_CONTROL_DUTY_H_
 
@@ -7,14 +7,9 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
-#include <vector>
 
-#include "libmembership/membership.pb.h"
-#include "libplacement/control_state.h"
-#include "libplacement/scheduler.h"
-#include "libreplication/replica.h"
+#include "libcontrol/control_core.h"
 #include "libreplication/replica_store.h"
 #include "libtransport/control_client.h"
 #include "libtransport/duty_loop.h"
@@ -22,7 +17,6 @@
 #include "libtransport/link.h"
 #include "libtransport/peer_liveness.h"
 #include "savoryringd/call_waiter.h"
-#include "savoryringd/control_api.h"
 #include "savoryringd/process.h"
 
 namespace savoryring {
@@ -41,63 +35,39 @@
 
  private:
   using ReplyFunction = std::function<void(const wire::ControlReply&)>;
-  struct PendingCall {
-    wire::ControlCall call;
-    std::uint64_t term = 0;
-    ReplyFunction reply;
-  };
-  struct WorkerLink {
-    Origin origin;
-    std::uint64_t version = 0;  // of the orders that it was last sent
-  };
 
   void OnMessage(const Received& message, TimePoint now) override;
   void OnTick(TimePoint now) override;
   void OnBatchEnd(TimePoint now) override;
 
   HttpResponse OnHttp(const HttpRequest& request);
-  void HandleCall(const wire::ControlCall& call,
-                  ReplyFunction reply,
-                  TimePoint now);
   void OnReplicaMessage(const Received& message, TimePoint now);
   void OnHeartbeat(const Received& message, TimePoint now);
-  void OnEntryHeartbeat(const Received& message, TimePoint now);
-  void SendOrders(const std::string& worker, std::uint64_t echo, bool lease);
+  void OnEstateFetch(const Received& message);
+  void OnControlCall(const Received& message, TimePoint now);
   void SendReplicaMessage(const OutgoingReplicaMessage& outgoing,
                           TimePoint now);
-  void FlushReplica(TimePoint now);
-  void ApplyCommitted(const wire::LogEntry& entry);
-  void FollowLeadership(TimePoint now);
-  void RunClientEffects(TimePoint now);
-  void Propose(const std::vector<wire::Command>& commands);
-  void CompactIfLong();
+  void Flush(TimePoint now);
+  void Store(const ReplicaOutput& output);
+  void RunEffects(TimePoint now);
+  void RunClientEffects();
   void NoteProcess(const std::string& duty,
                    const wire::Envelope& envelope,
                    TimePoint now);
-  bool Serves(TimePoint now) const;
-  std::string LeaderLink() const;
-  ControlView View(TimePoint now) const;
 
   Process* process;
   ReplicaStore store;
   Link link;
-  Replica replica;
-  ControlState state;
-  std::optional<Scheduler> scheduler;
-  ControlClient client;
+  ControlCore core;
+  ControlClient client;  // carries this process's own HTTP calls to the leader
   CallWaiter waiter;
   PeerLiveness liveness;
-  std::uint64_t applied_index = 0;
-  std::uint64_t scheduled_term = 0;
-  std::uint64_t decision_index = 0;  // last entry that the scheduler proposed
-  TimePoint decide_deadline;
   TimePoint publish_deadline;
-  bool was_leader = false;
-  std::map<std::uint64_t, PendingCall> pending_calls;
+  std::uint64_t last_ticket = 0;
+  std::map<std::uint64_t, ReplyFunction> tickets;
   std::map<std::string, std::string> replica_links;
   std::map<std::string, Origin> replica_origins;
-  std::map<std::string, WorkerLink> worker_links;
-  std::map<std::string, ProcessRevision> processes;
+  std::map<std::string, Origin> worker_origins;
   std::atomic<bool> ready{false};
   std::atomic<bool> leaving{false};
   DutyLoop loop;
--- a/src/savoryringd/endpoint_duty.cc
+++ b/src/savoryringd/endpoint_duty.cc
@@ -396,7 +396,7 @@
         this->loop.Post([this, run, outcome] {
           this->runner.OnStopResult(run, outcome.stopped, outcome.checkpoint,
                                     BootClock::now());
-          this->SendHeartbeat(BootClock::now());
+          this->poll_deadline = BootClock::now();
         });
       });
     } else {
--- /dev/null
+++ b/testsuite/schedule/fake_vm.h
@@ -0,0 +1,61 @@
+/// What stands on an endpoint VM beside the endpoint process: a worker that
+/// runs tasks under leases, and an endpoint that answers requests.
+#ifndef SAVORYRING_TESTSUITE_SCHEDULE_FAKE_VM_H_
+#define SAVORYRING_TESTSUITE_SCHEDULE_FAKE_VM_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "libplacement/task_runner.h"
+#include "testsuite/schedule/ledger.h"
+#include "testsuite/schedule/virtual_world.h"
+
+namespace savoryring {
+
+/// Commands are "MILLISECONDS yes|no", the latter whether repeatable, or
+/// "watch" for a monitor, or "fail" for a task that fails at once.
+class FakeWorker {
+ public:
+  FakeWorker(World& world,
+             Ledger& ledger,
+             std::string name,
+             DriftingClock clock);
+
+  /// False where the lease has ended.
+  bool Start(const wire::TaskOrder& order, TimePoint lease_end);
+  void Renew(const TaskRun& run, TimePoint lease_end);
+  /// The checkpoint; nothing where the worker does not know the run.
+  std::optional<std::string> CheckpointAndStop(const TaskRun& run);
+  std::vector<WorkerTask> List() const;
+  /// The VM restarts: nothing runs any more and nothing is remembered.
+  void Restart();
+  Resources capacity{.processors = 8, .memory_mb = 8000};
+
+ private:
+  struct Running {
+    wire::TaskRunState state = wire::TASK_RUNNING;
+    Resources size;
+    bool repeatable = true;
+    bool ends = true;
+    Milliseconds done{0};
+    TimePoint begin;      // by this VM's clock
+    TimePoint lease_end;  // by this VM's clock
+    std::string checkpoint;
+    std::uint64_t generation = 0;
+  };
+  void End(const TaskRun& run, Running& task, wire::TaskRunState state);
+  void WatchLease(const TaskRun& run, std::uint64_t generation);
+
+  World* world;
+  Ledger* ledger;
+  std::string name;
+  DriftingClock clock;
+  std::uint64_t next_generation = 1;
+  std::map<TaskRun, Running> tasks;
+};
+
+}  // namespace savoryring
+
+#endif  // SAVORYRING_TESTSUITE_SCHEDULE_FAKE_VM_H_
--- /dev/null
+++ b/testsuite/schedule/ledger.h
@@ -0,0 +1,84 @@
+/// What workers, endpoints, callers and operators really saw, and the
+/// promises checked on it after every step. It knows nothing of the system's
+/// own opinion.
+#ifndef SAVORYRING_TESTSUITE_SCHEDULE_LEDGER_H_
+#define SAVORYRING_TESTSUITE_SCHEDULE_LEDGER_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <stdexcept>
+#include <string>
+
+#include "savoryring/estate.h"
+#include "savoryring/time.h"
+
+namespace savoryring {
+
+/// A promise was broken; the text says which and how.
+class Violation : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+/// One sending of a caller's request: a resend has the same request.
+struct Sending {
+  std::uint64_t request = 0;
+  std::uint64_t number = 0;
+  auto operator<=>(const Sending& other) const = default;
+};
+
+class Ledger {
+ public:
+  // --- Tasks, as workers run them ---
+  void OnTaskStart(const std::string& worker,
+                   const std::string& task,
+                   const Resources& size,
+                   const Resources& capacity);
+  void OnTaskEnd(const std::string& worker,
+                 const std::string& task,
+                 const Resources& size,
+                 bool finished,
+                 bool repeatable);
+
+  // --- Requests, as endpoints run them and callers are answered ---
+  void OnRequestRun(const Sending& sending,
+                    bool repeatable,
+                    TimePoint left_at,
+                    TimePoint now);
+  void OnAnswer(const Sending& sending,
+                bool not_run,
+                bool passed_on,
+                std::uint64_t answered_request);
+
+  // --- Log and estate ---
+  void OnApplied(std::uint64_t index, std::uint64_t checksum);
+  void OnAccepted(std::uint64_t version, const std::string& content);
+  void OnInForce(const std::string& process,
+                 std::uint64_t revision,
+                 const std::string& content);
+  std::uint64_t HighestAccepted() const;
+  int TimesFinished(const std::string& task) const;
+  void ForgetProcess(const std::string& process);
+
+  std::uint64_t task_starts = 0;
+  std::uint64_t requests_run = 0;
+  std::uint64_t answers_passed = 0;
+  std::uint64_t answers_not_run = 0;
+  std::uint64_t answers_unknown = 0;
+
+ private:
+  std::map<std::string, std::string> running_on;  // worker, by task
+  std::map<std::string, Resources> used;          // by worker
+  std::map<std::string, int> finished;            // by task
+  std::map<Sending, int> runs;
+  std::map<std::uint64_t, int> runs_of_request;
+  std::set<Sending> not_run;
+  std::map<std::uint64_t, std::uint64_t> applied;
+  std::map<std::uint64_t, std::string> accepted;
+  std::map<std::string, std::uint64_t> in_force;
+};
+
+}  // namespace savoryring
+
+#endif  // SAVORYRING_TESTSUITE_SCHEDULE_LEDGER_H_
--- /dev/null
+++ b/testsuite/schedule/schedule.cc
@@ -0,0 +1,356 @@
+#include "testsuite/schedule/schedule.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace savoryring {
+namespace {
+
+using nlohmann::json;
+
+constexpr Milliseconds kFormTime{3000};
+constexpr Milliseconds kRepairTime{60'000};
+constexpr Milliseconds kCallTimeout{2000};
+
+json TaskJson(const std::string& name,
+              const std::string& command,
+              bool repeatable,
+              const json& depends_on) {
+  return {{"name", name},
+          {"team", "steel"},
+          {"processors", 2},
+          {"memory_mb", 500},
+          {"command", command},
+          {"repeatable", repeatable},
+          {"depends_on", depends_on}};
+}
+
+json MonitorJson(const std::string& name) {
+  return {{"name", name},
+          {"team", "line"},
+          {"processors", 1},
+          {"memory_mb", 100},
+          {"command", "watch"}};
+}
+
+// Whether the task rightly is where it is, long after the last fault.
+bool IsSettled(const ControlState& state, const wire::TaskRecord& task) {
+  if (task.spec().monitor()) {
+    return task.state() == wire::TASK_STATE_ASSIGNED ||
+           task.state() == wire::TASK_STATE_CANCELLED;
+  }
+  if (IsEnded(task.state()))
+    return true;
+  // What waits for work whose outcome only an operator can tell, waits on.
+  return task.state() == wire::TASK_STATE_PENDING &&
+         std::ranges::any_of(
+             task.spec().depends_on(), [&state](const std::string& name) {
+               const wire::TaskRecord* other = state.FindTask(name);
+               return other != nullptr &&
+                      (other->state() == wire::TASK_STATE_OUTCOME_UNKNOWN ||
+                       other->state() == wire::TASK_STATE_PENDING);
+             });
+}
+
+}  // namespace
+
+FaultPlan AllFaults() {
+  return {.kill_control = Milliseconds(4000),
+          .kill_vm_process = Milliseconds(4000),
+          .kill_entry = Milliseconds(6000),
+          .restart_vm = Milliseconds(7000),
+          .freeze = Milliseconds(3000),
+          .isolate_control = Milliseconds(5000),
+          .one_way_cut = Milliseconds(4000),
+          .silent_connection = Milliseconds(2000),
+          .lose_disk = Milliseconds(5000),
+          .leave = Milliseconds(9000),
+          .network = {.loss = 0.01,
+                      .duplicate = 0.02,
+                      .long_delay = 0.004,
+                      .crash = 0.0004}};
+}
+
+Schedule::Schedule(const ScheduleOptions& options, const FaultPlan& plan)
+    : estate(options), options(options), plan(plan) {}
+
+void Schedule::Run(Milliseconds length) {
+  World& world = this->estate.world;
+  world.RunUntil(world.now() + kFormTime);
+  this->fault_end = world.now() + length;
+  world.faults = this->plan.network;
+  this->SubmitEstate();
+  this->Every(Milliseconds(900), [this] { this->SubmitEstate(); });
+  this->Every(Milliseconds(500), [this] { this->SubmitTask(); });
+  this->Every(Milliseconds(15), [this] { this->SendRequest(); });
+  this->PlanFaults(this->plan);
+  world.RunUntil(this->fault_end);
+  this->estate.Heal();
+  world.RunUntil(world.now() + kRepairTime);
+  this->CheckAllDone();
+}
+
+void Schedule::Every(Milliseconds mean, std::function<void()> action) {
+  if (mean.count() == 0)
+    return;
+  World& world = this->estate.world;
+  world.After(world.RandomTime(mean / 2, mean * 3 / 2), [this, mean, action] {
+    if (this->estate.world.now() >= this->fault_end)
+      return;
+    action();
+    this->Every(mean, action);
+  });
+}
+
+std::string Schedule::EstateText(std::uint64_t variant) const {
+  json tasks = json::array();
+  tasks.push_back(TaskJson("temper", "3000 no", false, json::array()));
+  tasks.push_back(TaskJson("report", "800 yes", true, {"temper"}));
+  tasks.push_back(TaskJson("plan", "2500 yes", true, {"gauge-check"}));
+  tasks.push_back(TaskJson("bill", "1500 no", false, {"plan"}));
+  json monitors = json::array({MonitorJson("coil-1")});
+  if (variant % 2 == 1)
+    monitors.push_back(MonitorJson("coil-2"));
+  const json quota{
+      {"processors", 24}, {"memory_mb", 20000}, {"accelerators", 0}};
+  json task_class = TaskJson("class", "1200 no", false, json::array());
+  return json{
+      {"services", {{{"name", "gauge-check"}, {"timeout_ms", 400 + variant}}}},
+      {"tasks", tasks},
+      {"monitors", monitors},
+      {"task_classes", {task_class}},
+      {"teams",
+       {{{"name", "steel"}, {"quota", quota}},
+        {{"name", "line"}, {"quota", quota}}}}}
+      .dump();
+}
+
+// Two operators submit the same next version, with the same content or not.
+void Schedule::SubmitEstate() {
+  World& world = this->estate.world;
+  const std::uint64_t version = this->estate.ledger.HighestAccepted() + 1;
+  const std::uint64_t variant = world.Random(1000);
+  this->OneSubmission(this->EstateText(variant), version);
+  const std::uint64_t other = world.Chance(0.5) ? variant : world.Random(1000);
+  this->OneSubmission(this->EstateText(other), version);
+}
+
+void Schedule::OneSubmission(const std::string& text, std::uint64_t version) {
+  EntryNode* entry = this->AnyEntry();
+  if (entry == nullptr)
+    return;
+  const json body{{"version", version}, {"estate", json::parse(text)}};
+  const std::string content = json::parse(text).dump();
+  entry->Call("POST", "/estate", body.dump(), kCallTimeout,
+              [this, version, content](const wire::ControlReply& reply) {
+                if (reply.status() == 200)
+                  this->estate.ledger.OnAccepted(version, content);
+              });
+}
+
+void Schedule::SubmitTask() {
+  EntryNode* entry = this->AnyEntry();
+  if (entry == nullptr)
+    return;
+  const std::string key = "key-" + std::to_string(this->next_key);
+  // Every second submission is a resend of the last one by another way.
+  if (this->estate.world.Chance(0.6))
+    this->next_key += 1;
+  const json body{{"class", "class"}, {"key", key}};
+  entry->Call("POST", "/tasks", body.dump(), kCallTimeout,
+              [this, key](const wire::ControlReply& reply) {
+                if (reply.status() != 202)
+                  return;
+                const std::string task = json::parse(reply.body())["task"];
+                const auto [place, first] =
+                    this->submitted_tasks.emplace(key, task);
+                if (!first && place->second != task)
+                  throw Violation("doubled: " + key + " is two tasks");
+              });
+}
+
+void Schedule::SendRequest() {
+  EntryNode* entry = this->AnyEntry();
+  if (entry == nullptr)
+    return;
+  World& world = this->estate.world;
+  const Sending sending{.request = this->next_request++, .number = 1};
+  const bool repeatable = world.Chance(0.5);
+  const bool keyed = !repeatable && world.Chance(0.4);
+  const Milliseconds timeout =
+      world.RandomTime(Milliseconds(100), Milliseconds(1500));
+  if (!keyed) {
+    entry->Request(sending, repeatable, "", timeout, [](bool) {});
+    return;
+  }
+  this->SendAgain(sending, "order-" + std::to_string(sending.request));
+}
+
+// A caller that gets no answer sends the same request again, by any entry.
+void Schedule::SendAgain(const Sending& sending, const std::string& key) {
+  constexpr std::uint64_t kMostSendings = 4;
+  World& world = this->estate.world;
+  EntryNode* entry = this->AnyEntry();
+  auto answered = std::make_shared<bool>(false);
+  const Milliseconds timeout =
+      world.RandomTime(Milliseconds(200), Milliseconds(1200));
+  if (entry != nullptr) {
+    entry->Request(sending, false, key, timeout,
+                   [answered](bool passed_on) { *answered = passed_on; });
+  }
+  if (sending.number >= kMostSendings)
+    return;
+  const Milliseconds patience =
+      world.RandomTime(Milliseconds(100), Milliseconds(1500));
+  world.After(patience, [this, sending, key, answered] {
+    if (*answered)
+      return;
+    this->SendAgain({.request = sending.request, .number = sending.number + 1},
+                    key);
+  });
+}
+
+EntryNode* Schedule::AnyEntry() {
+  const std::uint64_t index =
+      this->estate.world.Random(this->estate.entries.size());
+  EntryNode* entry = this->estate.entries[index].get();
+  return entry->IsAlive() ? entry : nullptr;
+}
+
+Node* Schedule::AnyNode() {
+  const std::set<std::string> names = this->estate.Names();
+  const auto step =
+      static_cast<std::ptrdiff_t>(this->estate.world.Random(names.size()));
+  return this->estate.Find(*std::next(names.begin(), step));
+}
+
+void Schedule::PlanFaults(const FaultPlan& faults) {
+  World& world = this->estate.world;
+  const auto any = [&world](const auto& nodes) {
+    return nodes[world.Random(nodes.size())].get();
+  };
+  const auto restart = [&world](Node* node, Milliseconds most) {
+    world.After(world.RandomTime(Milliseconds(50), most),
+                [node] { node->Start(); });
+  };
+  this->Every(faults.kill_control, [this, any, restart] {
+    Node* node = any(this->estate.controls);
+    node->Kill();
+    restart(node, Milliseconds(3000));
+  });
+  this->Every(faults.kill_vm_process, [this, any, restart] {
+    Node* node = any(this->estate.vms);
+    node->Kill();
+    restart(node, Milliseconds(5000));
+  });
+  this->Every(faults.kill_entry, [this, any, restart] {
+    Node* node = any(this->estate.entries);
+    node->Kill();
+    restart(node, Milliseconds(1000));
+  });
+  this->Every(faults.restart_vm, [this, any, restart] {
+    VmNode* node = any(this->estate.vms);
+    node->RestartVm();
+    restart(node, Milliseconds(5000));
+  });
+  this->Every(faults.freeze, [this, &world] {
+    this->AnyNode()->Freeze(
+        world.RandomTime(Milliseconds(50), Milliseconds(6000)));
+  });
+  this->Every(faults.isolate_control, [this, any, &world] {
+    const std::string name = any(this->estate.controls)->name();
+    world.Isolate(name, this->estate.Names());
+    world.After(world.RandomTime(Milliseconds(200), Milliseconds(9000)),
+                [&world, name] {
+                  std::erase_if(world.cuts, [&name](const Direction& way) {
+                    return way.from == name || way.to == name;
+                  });
+                });
+  });
+  this->Every(faults.one_way_cut, [this, &world] {
+    const Direction way{.from = this->AnyNode()->name(),
+                        .to = this->AnyNode()->name()};
+    world.cuts.insert(way);
+    world.After(world.RandomTime(Milliseconds(200), Milliseconds(6000)),
+                [&world, way] { world.cuts.erase(way); });
+  });
+  this->Every(faults.silent_connection, [this, &world] {
+    world.silent.insert(
+        {.from = this->AnyNode()->name(), .to = this->AnyNode()->name()});
+  });
+  this->Every(faults.lose_disk, [this] { this->LoseADisk(); });
+  this->Every(faults.leave, [this, any, restart, &world] {
+    VmNode* node = any(this->estate.vms);
+    if (!node->IsAlive())
+      return;
+    node->Leave();
+    world.After(Milliseconds(6000), [node, restart] {
+      node->Kill();
+      restart(node, Milliseconds(500));
+    });
+  });
+}
+
+// Losing one disk is survived at any time when the group is whole; the next
+// may go as soon as the first is replaced.
+void Schedule::LoseADisk() {
+  if (!this->GroupIsWhole())
+    return;
+  World& world = this->estate.world;
+  ControlNode* node =
+      this->estate.controls[world.Random(this->estate.controls.size())].get();
+  node->Kill();
+  node->LoseDisk();
+  world.After(world.RandomTime(Milliseconds(50), Milliseconds(2000)),
+              [node] { node->Start(); });
+}
+
+bool Schedule::GroupIsWhole() {
+  const ControlNode* leader = this->estate.Leader();
+  if (leader == nullptr)
+    return false;
+  const auto voters = leader->core()->replica().voters();
+  if (voters.size() != this->estate.controls.size())
+    return false;
+  return std::ranges::all_of(this->estate.controls, [&](const auto& node) {
+    return node->IsAlive() &&
+           std::ranges::find(voters, node->core()->replica().self()) !=
+               voters.end();
+  });
+}
+
+void Schedule::CheckAllDone() {
+  const ControlNode* leader = this->estate.Leader();
+  if (leader == nullptr)
+    throw Violation("done: no leader after healing");
+  if (!this->GroupIsWhole())
+    throw Violation("done: the group is not whole after healing");
+  const ControlState& state = leader->core()->state();
+  const std::uint64_t revision = state.estate().revision();
+  if (revision < this->estate.ledger.HighestAccepted())
+    throw Violation("done: an accepted estate is not in force");
+  for (const auto& vm : this->estate.vms) {
+    if (vm->revision() != revision)
+      throw Violation("done: " + vm->name() + " is behind");
+  }
+  for (const auto& entry : this->estate.entries) {
+    if (entry->revision() != revision)
+      throw Violation("done: " + entry->name() + " is behind");
+  }
+  for (const auto& [id, task] : state.tasks()) {
+    if (!IsSettled(state, task)) {
+      throw Violation("done: " + id + " is " + NameOf(task.state()) + " on " +
+                      task.worker());
+    }
+    const bool finished = task.state() == wire::TASK_STATE_FINISHED;
+    if (finished && this->estate.ledger.TimesFinished(id) == 0)
+      throw Violation("done: " + id + " is said to be finished and is not");
+  }
+  for (const auto& [key, task] : this->submitted_tasks) {
+    if (state.FindTask(task) == nullptr)
+      throw Violation("lost: " + task);
+  }
+}
+
+}  // namespace savoryring
