--- a/src/libreplication/replica.cc
+++ b/src/libreplication/replica.cc
@@ -535,8 +535,7 @@
     return;
   // An entry of an earlier term may still be replaced although a majority
   // holds it; only one of this term makes it safe.
-  if (this->TermAt(agreed) != this->term() &&
-      !this->options.mutations.commit_old_terms)
+  if (this->TermAt(agreed) != this->term())
     return;
   this->commit = agreed;
   this->DeliverCommitted();
--- a/src/libreplication/replica.h
+++ b/src/libreplication/replica.h
@@ -30,7 +30,6 @@
   bool skip_vote_sync = false;          ///< Votes are not stored.
   bool skip_leader_stickiness = false;  ///< Votes while a leader is alive.
   bool empty_disk_votes = false;        ///< An empty disk votes at once.
-  bool commit_old_terms = false;        ///< Commits entries of earlier terms.
   bool lease_without_quorum = false;  ///< Leads on without hearing a majority.
 };
 
