Place tasks by expected interference and relieve slowed services

Change: interference learned by class (normalised least mean squares), graded relief with hysteresis and a cap, room for urgent tasks, latency windows in the endpoint process.

--- a/src/libplacement/scheduler.cc
+++ b/src/libplacement/scheduler.cc
@@ -9,6 +9,12 @@
 // A new leader waits this long for workers to show themselves before it calls
 // a task impossible.
 constexpr Milliseconds kParkDelay{5000};
+// Workers with room that are compared for one task.
+constexpr std::size_t kMostCompared = 48;
+// Cost of a full worker, in the units of a service's relative slowdown.
+constexpr double kCrowdingWeight = 0.3;
+// Wait before more room is made for the same urgent task.
+constexpr Milliseconds kRoomRetry{1500};
 
 Resources Difference(Resources a, const Resources& b) {
   a.processors -= std::min(a.processors, b.processors);
@@ -27,6 +33,7 @@
 Scheduler::Scheduler(SchedulerOptions options, TimePoint led_since)
     : options(options),
       live(options.watch, led_since),
+      relief(options.relief),
       park_start(led_since + kParkDelay) {}
 
 std::vector<wire::Command> Scheduler::OnHeartbeat(
@@ -87,6 +94,8 @@
                                              TimePoint now) {
   std::vector<wire::Command> commands;
   this->LoseSilentWorkers(state, now, commands);
+  for (wire::Command& command : this->relief.Decide(state, this->live, now))
+    commands.push_back(std::move(command));
   this->AssignPending(state, now, commands);
   return commands;
 }
@@ -113,51 +122,63 @@
                               TimePoint now,
                               std::vector<wire::Command>& commands) {
   this->why_pending.clear();
-  if (state.pending().empty())
+  if (state.pending().empty()) {
+    this->room_deadlines.clear();
     return;
-  std::vector<Candidate> candidates = this->LiveCandidates(state, now);
-  std::map<std::string, Resources> given;
-  std::map<std::string, Resources> quotas;
+  }
+  Round round;
+  round.candidates = this->LiveCandidates(state, now);
   for (const TeamSpec& team : state.estate().estate().teams)
-    quotas[team.name] = team.quota;
-  wire::AssignTasks assign;
+    round.quotas[team.name] = team.quota;
   std::size_t looked_at = 0;
   for (const PendingKey& key : state.pending()) {
     if (++looked_at > this->options.most_pending_looked_at ||
-        static_cast<std::size_t>(assign.assignments_size()) >=
+        static_cast<std::size_t>(round.assign.assignments_size()) >=
             this->options.most_assignments)
       break;
-    const wire::TaskRecord& task = *state.FindTask(key.task);
-    std::string why = this->WhyNotReady(state, task, now);
-    if (!why.empty()) {
-      this->why_pending[key.task] = std::move(why);
-      continue;
-    }
-    Resources use = state.TeamUse(task.spec().team());
-    use += given[task.spec().team()];
-    use += ResourcesOf(task.spec());
-    if (!use.FitsIn(quotas[task.spec().team()])) {
-      this->why_pending[key.task] =
-          "the quota of team " + task.spec().team() + " is used up";
-      continue;
-    }
-    Candidate* chosen = this->ChooseWorker(task, candidates);
-    if (chosen == nullptr) {
-      this->why_pending[key.task] = "no live worker has room for it";
-      this->ParkIfImpossible(state, task, now, commands);
-      continue;
-    }
-    chosen->free = Difference(chosen->free, ResourcesOf(task.spec()));
-    given[task.spec().team()] += ResourcesOf(task.spec());
-    wire::Assignment* assignment = assign.add_assignments();
-    assignment->set_task(task.id());
-    assignment->set_epoch(task.epoch() + 1);
-    assignment->set_worker(chosen->worker->record.description().id());
-    assignment->set_worker_incarnation(chosen->worker->record.incarnation());
-    assignment->set_why("it had the most room among the live workers");
+    this->Place(state, *state.FindTask(key.task), now, round, commands);
+  }
+  if (round.assign.assignments_size() > 0)
+    *commands.emplace_back().mutable_assign_tasks() = std::move(round.assign);
+}
+
+void Scheduler::Place(const ControlState& state,
+                      const wire::TaskRecord& task,
+                      TimePoint now,
+                      Round& round,
+                      std::vector<wire::Command>& commands) {
+  std::string& why = this->why_pending[task.id()];
+  why = this->WhyNotReady(state, task, now);
+  if (!why.empty())
+    return;
+  const std::string& team = task.spec().team();
+  Resources use = state.TeamUse(team);
+  use += round.given[team];
+  use += ResourcesOf(task.spec());
+  if (!use.FitsIn(round.quotas[team])) {
+    why = "the quota of team " + team + " is used up";
+    return;
+  }
+  Candidate* chosen = this->ChooseWorker(state, task, round);
+  if (chosen == nullptr) {
+    why = "no live worker has room for it";
+    this->ParkIfImpossible(state, task, now, commands);
+    if (task.spec().urgent() && this->options.use_preemption)
+      this->MakeRoom(state, task, now, round, commands);
+    return;
   }
-  if (assign.assignments_size() > 0)
-    *commands.emplace_back().mutable_assign_tasks() = std::move(assign);
+  this->why_pending.erase(task.id());
+  chosen->free = Difference(chosen->free, ResourcesOf(task.spec()));
+  chosen->pressure[ClassOf(task.spec())] += task.spec().processors();
+  round.given[team] += ResourcesOf(task.spec());
+  wire::Assignment* assignment = round.assign.add_assignments();
+  assignment->set_task(task.id());
+  assignment->set_epoch(task.epoch() + 1);
+  assignment->set_worker(chosen->worker->record.description().id());
+  assignment->set_worker_incarnation(chosen->worker->record.incarnation());
+  assignment->set_why(this->options.first_fit
+                          ? "it was the first worker with room"
+                          : "it cost services and other tasks the least there");
 }
 
 std::string Scheduler::WhyNotReady(const ControlState& state,
@@ -194,21 +215,36 @@
                         !worker.record.lost() && !worker.record.draining() &&
                         !worker.record.leaving() &&
                         !(worker.record.quarantined() && !worker.tasks.empty());
-    if (usable) {
-      candidates.push_back(
-          {.worker = &worker,
-           .free = Difference(worker.capacity, worker.committed)});
-    }
+    if (!usable)
+      continue;
+    Candidate candidate{.worker = &worker,
+                        .live = seen,
+                        .free = Difference(worker.capacity, worker.committed),
+                        .pressure = PressureOn(worker, state)};
+    double used = 0;
+    for (const auto& [task, usage] : seen->usage)
+      used += usage.processors();
+    if (worker.capacity.processors > 0)
+      candidate.used_share = used / worker.capacity.processors;
+    candidates.push_back(std::move(candidate));
   }
   return candidates;
 }
 
-Scheduler::Candidate* Scheduler::ChooseWorker(
-    const wire::TaskRecord& task,
-    std::vector<Candidate>& candidates) {
+// Looks at a limited number of workers with room, from a place that moves on,
+// so that a decision costs the same in a large estate.
+Scheduler::Candidate* Scheduler::ChooseWorker(const ControlState& state,
+                                              const wire::TaskRecord& task,
+                                              Round& round) {
   const Resources need = ResourcesOf(task.spec());
+  const std::size_t count = round.candidates.size();
   Candidate* best = nullptr;
-  for (Candidate& candidate : candidates) {
+  double best_cost = 0;
+  std::size_t compared = 0;
+  const std::size_t start =
+      this->options.first_fit || count == 0 ? 0 : this->next_candidate % count;
+  for (std::size_t step = 0; step < count; ++step) {
+    Candidate& candidate = round.candidates[(start + step) % count];
     if (!need.FitsIn(candidate.free))
       continue;
     const std::string& id = candidate.worker->record.description().id();
@@ -218,12 +254,80 @@
       continue;
     if (this->options.first_fit)
       return &candidate;
-    if (best == nullptr || candidate.free.processors > best->free.processors)
+    const double cost = this->CostOf(state, task, candidate);
+    if (best == nullptr || cost < best_cost) {
       best = &candidate;
+      best_cost = cost;
+    }
+    if (++compared >= kMostCompared)
+      break;
   }
+  this->next_candidate += compared;
   return best;
 }
 
+// What the task would cost there: the expected slowdown of the services on
+// that VM, more where they are near their target, and how full it is already.
+double Scheduler::CostOf(const ControlState& state,
+                         const wire::TaskRecord& task,
+                         const Candidate& candidate) const {
+  const double processors =
+      std::max(1U, candidate.worker->capacity.processors);
+  const double free_share = candidate.free.processors / processors;
+  double cost = kCrowdingWeight * (1 - free_share);
+  if (this->options.use_measured_use)
+    cost += kCrowdingWeight * candidate.used_share;
+  if (!this->options.use_interference || candidate.live->serving.empty())
+    return cost;
+  const std::string& id = candidate.worker->record.description().id();
+  const Weights& weights = state.estate().estate().weights;
+  for (const std::string& service : candidate.live->serving) {
+    const double added =
+        task.spec().processors() *
+        this->relief.model().SlowdownPerProcessor(service,
+                                                  ClassOf(task.spec()));
+    const double there =
+        this->relief.model().Slowdown(service, candidate.pressure);
+    const double near = 1 + this->relief.RelativeLatency(id, service);
+    cost += weights.tail_latency * added * near * (1 + there);
+  }
+  return cost;
+}
+
+// An urgent task that finds no room takes that of one task that is neither
+// urgent nor a monitor: the smallest whose going makes room.
+void Scheduler::MakeRoom(const ControlState& state,
+                         const wire::TaskRecord& task,
+                         TimePoint now,
+                         const Round& round,
+                         std::vector<wire::Command>& commands) {
+  TimePoint& deadline = this->room_deadlines[task.id()];
+  if (now < deadline)
+    return;
+  const Resources need = ResourcesOf(task.spec());
+  const wire::TaskRecord* victim = nullptr;
+  for (const Candidate& candidate : round.candidates) {
+    for (const std::string& id : candidate.worker->tasks) {
+      const wire::TaskRecord& other = *state.FindTask(id);
+      Resources freed = candidate.free;
+      freed += ResourcesOf(other.spec());
+      const bool suits = other.state() == wire::TASK_STATE_ASSIGNED &&
+                         !other.spec().urgent() && !other.spec().monitor() &&
+                         need.FitsIn(freed);
+      if (suits && (victim == nullptr || other.spec().processors() <
+                                             victim->spec().processors()))
+        victim = &other;
+    }
+  }
+  if (victim == nullptr)
+    return;
+  deadline = now + kRoomRetry;
+  wire::StopTasks* command = commands.emplace_back().mutable_stop_tasks();
+  command->add_tasks(victim->id());
+  command->set_cause(wire::STOP_CAUSE_EVICTED);
+  command->set_why("it makes room for urgent " + task.id());
+}
+
 void Scheduler::ParkIfImpossible(const ControlState& state,
                                  const wire::TaskRecord& task,
                                  TimePoint now,
--- a/src/libplacement/scheduler.h
+++ b/src/libplacement/scheduler.h
@@ -11,6 +11,7 @@
 
 #include "libmembership/worker_watch.h"
 #include "libplacement/control_state.h"
+#include "libplacement/relief.h"
 #include "savoryring/time.h"
 
 namespace savoryring {
@@ -20,6 +21,10 @@
   std::size_t most_assignments = 256;  ///< In one command.
   std::size_t most_pending_looked_at = 4096;
   bool first_fit = false;  ///< Baseline: the first worker that has room.
+  bool use_interference = true;  ///< Weigh what a task does to services.
+  bool use_measured_use = true;  ///< Weigh what a worker really uses.
+  bool use_preemption = true;    ///< Make room for urgent tasks.
+  ReliefOptions relief;
 };
 
 class Scheduler {
@@ -45,12 +50,25 @@
   /// Why a pending task waits, as of the last Decide that looked at it.
   std::string WhyPending(const std::string& task) const;
   const WorkerWatch& watch() const { return this->live; }
+  const InterferenceModel& interference() const {
+    return this->relief.model();
+  }
 
  private:
   // A worker with what this round of decisions has already given away.
   struct Candidate {
     const WorkerState* worker = nullptr;
+    const LiveWorker* live = nullptr;
     Resources free;
+    Pressure pressure;       // by class, this round's assignments included
+    double used_share = 0;   // of the processors, as measured
+  };
+  // State of one round of assignments.
+  struct Round {
+    std::vector<Candidate> candidates;
+    std::map<std::string, Resources> given;   // by team
+    std::map<std::string, Resources> quotas;  // by team
+    wire::AssignTasks assign;
   };
 
   void LoseSilentWorkers(const ControlState& state,
@@ -59,16 +77,30 @@
   void AssignPending(const ControlState& state,
                      TimePoint now,
                      std::vector<wire::Command>& commands);
+  void Place(const ControlState& state,
+             const wire::TaskRecord& task,
+             TimePoint now,
+             Round& round,
+             std::vector<wire::Command>& commands);
   std::string WhyNotReady(const ControlState& state,
                           const wire::TaskRecord& task,
                           TimePoint now) const;
   bool IsUp(const ControlState& state,
             const std::string& name,
             TimePoint now) const;
-  Candidate* ChooseWorker(const wire::TaskRecord& task,
-                          std::vector<Candidate>& candidates);
+  Candidate* ChooseWorker(const ControlState& state,
+                          const wire::TaskRecord& task,
+                          Round& round);
+  double CostOf(const ControlState& state,
+                const wire::TaskRecord& task,
+                const Candidate& candidate) const;
   std::vector<Candidate> LiveCandidates(const ControlState& state,
                                         TimePoint now) const;
+  void MakeRoom(const ControlState& state,
+                const wire::TaskRecord& task,
+                TimePoint now,
+                const Round& round,
+                std::vector<wire::Command>& commands);
   void ParkIfImpossible(const ControlState& state,
                         const wire::TaskRecord& task,
                         TimePoint now,
@@ -76,6 +108,9 @@
 
   SchedulerOptions options;
   WorkerWatch live;
+  Relief relief;
+  std::size_t next_candidate = 0;  // where the next search for room begins
+  std::map<std::string, TimePoint> room_deadlines;  // by urgent task
   TimePoint park_start;
   std::map<std::string, std::string> why_pending;
 };
--- a/src/savoryringd/endpoint_duty.cc
+++ b/src/savoryringd/endpoint_duty.cc
@@ -300,6 +300,7 @@
       kept.answer.set_body(response->body);
       kept.answer.set_body_checksum(Checksum(response->body));
     }
+    this->latencies.Record(kept.attempt.service(), now - kept.arrived);
     kept.span.end = now;
     kept.span.status = response ? response->status : 0;
     this->process->spans().Write(kept.span);
@@ -457,6 +458,8 @@
     if (service.serving)
       heartbeat.add_serving(service.endpoint.service);
   }
+  for (wire::ServiceMeasurement& item : this->latencies.Take(now))
+    *heartbeat.add_measurements() = std::move(item);
   heartbeat.set_leaving(this->leaving);
   const std::string& leader =
       this->process->settings().controls[this->current_control].link;
--- a/src/savoryringd/endpoint_duty.h
+++ b/src/savoryringd/endpoint_duty.h
@@ -13,6 +13,7 @@
 #include "libestate/estate_state.h"
 #include "libplacement/task_runner.h"
 #include "librouting/admission.h"
+#include "librouting/latency_windows.h"
 #include "libtransport/duty_loop.h"
 #include "libtransport/http.h"
 #include "libtransport/link.h"
@@ -80,6 +81,7 @@
   std::uint64_t sequence = 0;
   std::optional<WorkerSize> size;
   std::vector<wire::TaskUsage> usage;
+  LatencyWindows latencies;  // of the local endpoint's services
   bool polling = false;
   bool had_lease = false;
   TimePoint poll_deadline;
