Replay recorded traces and tune placement and relief on them

Ruled out: measurement lag (the same without learning). Change: placement weighs the cost of passing the target, not slowdown as such; relief takes as much as is expected to reach the limit, or nothing; one measurement over is enough to throttle; relief no longer evicts. Tried and dropped: linear cost of slowdown, late widths 0.06, 0.12, 0.3, two measurements over, settle time 3 s.

--- a/src/libplacement/interference.cc
+++ b/src/libplacement/interference.cc
@@ -1,6 +1,7 @@
 #include "libplacement/interference.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace savoryring {
 namespace {
@@ -12,9 +13,18 @@
 constexpr double kAloneRate = 0.05;
 constexpr double kSampleDecay = 0.995;
 constexpr double kSamplesForTrust = 8;
+// Width, in relative latency, of the step from in time to late.
+constexpr double kLateWidth = 0.2;
+// Cost of latency as such, beside that of passing the target.
+constexpr double kLateSlope = 0.15;
 
 }  // namespace
 
+double LatenessCost(double relative_latency) {
+  const double late = 1 / (1 + std::exp((1 - relative_latency) / kLateWidth));
+  return late + kLateSlope * relative_latency;
+}
+
 std::string ClassOf(const wire::TaskSpec& spec) {
   if (!spec.task_class().empty())
     return spec.task_class();
@@ -72,6 +82,16 @@
   return sum;
 }
 
+double InterferenceModel::RelativeLatency(const ServiceSpec& service,
+                                          const Pressure& pressure) const {
+  const auto known = this->services.find(service.name);
+  if (known == this->services.end())
+    return 0;
+  const double expected_ms =
+      known->second.alone_ms * (1 + this->Slowdown(service.name, pressure));
+  return expected_ms / static_cast<double>(service.tail_target.count());
+}
+
 double InterferenceModel::Confidence(const std::string& service_name,
                                      const std::string& task_class) const {
   const auto service = this->services.find(service_name);
--- a/src/libplacement/interference.h
+++ b/src/libplacement/interference.h
@@ -8,9 +8,14 @@
 #include <string>
 
 #include "libplacement/placement.pb.h"
+#include "savoryring/estate.h"
 
 namespace savoryring {
 
+/// What a service's tail latency, relative to its target, is worth: little
+/// below one, much above, and a little more the further it goes.
+double LatenessCost(double relative_latency);
+
 /// The class by which a task's interference is learned: its task class, or
 /// the first word of its command.
 std::string ClassOf(const wire::TaskSpec& spec);
@@ -31,6 +36,10 @@
                               const std::string& task_class) const;
   /// Expected relative slowdown by everything in `pressure`.
   double Slowdown(const std::string& service, const Pressure& pressure) const;
+  /// Expected tail latency beside `pressure`, relative to `target`; zero
+  /// where the service was never measured.
+  double RelativeLatency(const ServiceSpec& service,
+                         const Pressure& pressure) const;
   /// From 0, nothing known, to 1.
   double Confidence(const std::string& service,
                     const std::string& task_class) const;
--- a/src/libplacement/relief.h
+++ b/src/libplacement/relief.h
@@ -18,16 +18,16 @@
 namespace savoryring {
 
 enum class ReliefPolicy {
+  kThrottle,     ///< Throttle only.
   kGraded,       ///< Throttle, then evict within a cap.
-  kNeverEvict,   ///< Throttle only.
   kAlwaysEvict,  ///< Evict at once, without a cap (baseline).
   kNone,         ///< Nothing (baseline).
 };
 
 struct ReliefOptions {
-  ReliefPolicy policy = ReliefPolicy::kGraded;
-  bool learn = true;        ///< False: every class is taken as alike.
-  bool hysteresis = true;   ///< False: acts on every single measurement.
+  ReliefPolicy policy = ReliefPolicy::kThrottle;
+  bool learn = true;       ///< False: every class is taken as alike.
+  bool hysteresis = true;  ///< False: acts on every single measurement.
 };
 
 class Relief {
@@ -70,12 +70,23 @@
            const ServiceSpec& service,
            TimePoint now,
            std::vector<wire::Command>& commands);
-  void Reduce(const wire::TaskRecord& task,
-              const std::string& service,
-              const Weights& weights,
+  void Reduce(const WorkerState& worker,
               const ControlState& state,
+              const ServiceSpec& service,
+              double relative,
               TimePoint now,
               std::vector<wire::Command>& commands);
+  bool Throttle(const std::vector<const wire::TaskRecord*>& tasks,
+                const std::string& service,
+                double floor,
+                double excess,
+                const std::string& why,
+                std::vector<wire::Command>& commands) const;
+  /// The tasks worth touching, the one that slows the service most first.
+  std::vector<const wire::TaskRecord*> ByContribution(
+      const WorkerState& worker,
+      const ControlState& state,
+      const std::string& service) const;
   void GiveBack(const WorkerState& worker,
                 const ControlState& state,
                 const std::string& service,
--- a/src/libplacement/scheduler.cc
+++ b/src/libplacement/scheduler.cc
@@ -11,8 +11,8 @@
 constexpr Milliseconds kParkDelay{5000};
 // Workers with room that are compared for one task.
 constexpr std::size_t kMostCompared = 48;
-// Cost of a full worker, in the units of a service's relative slowdown.
-constexpr double kCrowdingWeight = 0.3;
+// Cost of a full worker, where a service that passes its target costs one.
+constexpr double kCrowdingWeight = 0.05;
 // Wait before more room is made for the same urgent task.
 constexpr Milliseconds kRoomRetry{1500};
 
@@ -266,30 +266,32 @@
   return best;
 }
 
-// What the task would cost there: the expected slowdown of the services on
-// that VM, more where they are near their target, and how full it is already.
+// What the task would cost there: how much later the services on that VM are
+// expected to be, and, to a lesser degree, how full it is already. A service
+// that is late anyway loses little more, so that noise beyond what the estate
+// can spread gathers on few VMs.
 double Scheduler::CostOf(const ControlState& state,
                          const wire::TaskRecord& task,
                          const Candidate& candidate) const {
-  const double processors =
-      std::max(1U, candidate.worker->capacity.processors);
+  const double processors = std::max(1U, candidate.worker->capacity.processors);
   const double free_share = candidate.free.processors / processors;
   double cost = kCrowdingWeight * (1 - free_share);
-  if (this->options.use_measured_use)
-    cost += kCrowdingWeight * candidate.used_share;
+  if (this->options.use_measured_use) {
+    const double over = candidate.used_share - (1 - free_share);
+    cost += std::max(0.0, over);
+  }
   if (!this->options.use_interference || candidate.live->serving.empty())
     return cost;
-  const std::string& id = candidate.worker->record.description().id();
-  const Weights& weights = state.estate().estate().weights;
-  for (const std::string& service : candidate.live->serving) {
-    const double added =
-        task.spec().processors() *
-        this->relief.model().SlowdownPerProcessor(service,
-                                                  ClassOf(task.spec()));
-    const double there =
-        this->relief.model().Slowdown(service, candidate.pressure);
-    const double near = 1 + this->relief.RelativeLatency(id, service);
-    cost += weights.tail_latency * added * near * (1 + there);
+  Pressure after = candidate.pressure;
+  after[ClassOf(task.spec())] += task.spec().processors();
+  const Estate& estate = state.estate().estate();
+  for (const ServiceSpec& service : estate.services) {
+    if (!candidate.live->serving.contains(service.name))
+      continue;
+    const double now =
+        this->relief.model().RelativeLatency(service, candidate.pressure);
+    const double then = this->relief.model().RelativeLatency(service, after);
+    cost += LatenessCost(then) - LatenessCost(now);
   }
   return cost;
 }
@@ -314,8 +316,8 @@
       const bool suits = other.state() == wire::TASK_STATE_ASSIGNED &&
                          !other.spec().urgent() && !other.spec().monitor() &&
                          need.FitsIn(freed);
-      if (suits && (victim == nullptr || other.spec().processors() <
-                                             victim->spec().processors()))
+      if (suits && (victim == nullptr ||
+                    other.spec().processors() < victim->spec().processors()))
         victim = &other;
     }
   }
--- a/src/libplacement/scheduler.h
+++ b/src/libplacement/scheduler.h
@@ -20,7 +20,7 @@
   WorkerWatchOptions watch;
   std::size_t most_assignments = 256;  ///< In one command.
   std::size_t most_pending_looked_at = 4096;
-  bool first_fit = false;  ///< Baseline: the first worker that has room.
+  bool first_fit = false;        ///< Baseline: the first worker that has room.
   bool use_interference = true;  ///< Weigh what a task does to services.
   bool use_measured_use = true;  ///< Weigh what a worker really uses.
   bool use_preemption = true;    ///< Make room for urgent tasks.
@@ -50,9 +50,7 @@
   /// Why a pending task waits, as of the last Decide that looked at it.
   std::string WhyPending(const std::string& task) const;
   const WorkerWatch& watch() const { return this->live; }
-  const InterferenceModel& interference() const {
-    return this->relief.model();
-  }
+  const InterferenceModel& interference() const { return this->relief.model(); }
 
  private:
   // A worker with what this round of decisions has already given away.
@@ -60,8 +58,8 @@
     const WorkerState* worker = nullptr;
     const LiveWorker* live = nullptr;
     Resources free;
-    Pressure pressure;       // by class, this round's assignments included
-    double used_share = 0;   // of the processors, as measured
+    Pressure pressure;      // by class, this round's assignments included
+    double used_share = 0;  // of the processors, as measured
   };
   // State of one round of assignments.
   struct Round {
--- a/src/savoryring/commands.cc
+++ b/src/savoryring/commands.cc
@@ -13,6 +13,7 @@
 #include "savoryring/client.h"
 #include "savoryring/estate.h"
 #include "savoryring/load.h"
+#include "savoryring/replay_command.h"
 #include "savoryring/result.h"
 #include "savoryring/settings.h"
 
@@ -30,6 +31,9 @@
 DEFINE_string(key, "", "idempotency key; the same key is the same task");
 DEFINE_bool(urgent, false, "place the task before all that are not urgent");
 DEFINE_bool(end, false, "end the drain instead of beginning it");
+DEFINE_string(policy, "", "policy to replay a trace with");
+DEFINE_bool(session, false, "print each decision of a replay");
+DEFINE_bool(all, false, "compare every policy on a trace");
 DEFINE_string(service, "", "service to send load to");
 DEFINE_string(path, "/", "path below the service");
 DEFINE_string(method, "GET", "HTTP method of the load");
@@ -221,6 +225,14 @@
             << (FLAGS_end ? " takes work again\n" : " takes no new tasks\n");
 }
 
+void Replay(const Arguments& arguments) {
+  RunReplayCommand({.path = Argument(arguments, 0),
+                    .policy = FLAGS_policy,
+                    .session = FLAGS_session,
+                    .all = FLAGS_all,
+                    .json = FLAGS_json});
+}
+
 double ToMs(std::chrono::nanoseconds time) {
   return std::chrono::duration<double, std::milli>(time).count();
 }
@@ -318,6 +330,8 @@
                "load --service=NAME [--path=/] [--method=GET] "
                "[--requests=N] [--concurrency=N] [--timeout_ms=N]",
                "send bounded load and print a latency table", &Load},
+    CliCommand{"replay", "replay TRACE [--policy=NAME] [--session] [--all]",
+               "replay a recorded trace and score the outcome", &Replay},
     CliCommand{"codes", "codes", "print the table of result codes", &Codes},
     CliCommand{"events", "events", "print the catalogue of log events",
                &Events},
