--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,9 @@
 
 bench: all
 	@$(BUILD)/bin/savoryring_bench
+	@testsuite/bench/measure $(CURDIR)/$(BUILD)/bin $(CURDIR)
+	@for trace in testsuite/traces/*.trace; do echo "== $$trace"; \
+	  $(BUILD)/bin/savoryring replay $$trace --all; done
 
 proto:
 	cd src && protoc -I. --cpp_out=. $(PROTOS:src/%=%)
