Choose endpoints from lists by service; let operators decide on unknown outcomes

Cause: a choice looked at every endpoint known, 257 us at 2100; a task whose outcome is unknown had no way on when its worker never came back. Ruled out: the cost of scoring (the same with random choice). Change: the directory keeps lists by service and zone, long ones are sampled; 'task resume' and 'task settle'.

--- a/src/include/savoryring/result.h
+++ b/src/include/savoryring/result.h
@@ -54,7 +54,7 @@
   kUnknownTaskClass = 305,
   kUnknownTeam = 306,
   kUnknownWorker = 307,
-  kTooManyTasks = 308,
+  kNothingToDecide = 308,
   // 4xx: stored state.
   kDamagedLog = 400,
   kDiskFailed = 401,
--- a/src/libmembership/directory.cc
+++ b/src/libmembership/directory.cc
@@ -25,6 +25,12 @@
   const bool replaced = !appeared && record.incarnation != incarnation;
   if (!appeared && !replaced && announcement.sequence() <= record.sequence)
     return DirectoryChange::kNone;
+  const bool moved =
+      record.availability_zone != announcement.availability_zone() ||
+      record.services.size() !=
+          static_cast<std::size_t>(announcement.services_size());
+  if (moved || appeared || replaced)
+    this->lists_valid = false;
   record.id = sender;
   record.incarnation = incarnation;
   record.link = announcement.link();
@@ -51,6 +57,8 @@
   }
   for (const std::string& id : removed)
     this->records.erase(id);
+  if (!removed.empty())
+    this->lists_valid = false;
   return removed;
 }
 
@@ -59,4 +67,28 @@
   return found == this->records.end() ? nullptr : &found->second;
 }
 
+const std::vector<const EndpointRecord*>& Directory::Of(
+    const std::string& service,
+    const std::string& availability_zone) const {
+  static const std::vector<const EndpointRecord*> none;
+  if (!this->lists_valid)
+    this->RebuildLists();
+  const auto found = this->lists.find(
+      {.service = service, .availability_zone = availability_zone});
+  return found == this->lists.end() ? none : found->second;
+}
+
+void Directory::RebuildLists() const {
+  this->lists.clear();
+  for (const auto& [id, record] : this->records) {
+    for (const auto& [service, load] : record.services) {
+      this->lists[{.service = service}].push_back(&record);
+      this->lists[{.service = service,
+                   .availability_zone = record.availability_zone}]
+          .push_back(&record);
+    }
+  }
+  this->lists_valid = true;
+}
+
 }  // namespace savoryring
--- a/src/libmembership/directory.h
+++ b/src/libmembership/directory.h
@@ -49,12 +49,28 @@
   std::vector<std::string> RemoveSilent(TimePoint now);
 
   const EndpointRecord* Find(const std::string& id) const;
+  /// The endpoints that have ever announced the service, of one availability
+  /// zone or, where that is empty, of all. Whether one serves now must still
+  /// be asked. Valid until the next Apply or RemoveSilent.
+  const std::vector<const EndpointRecord*>& Of(
+      const std::string& service,
+      const std::string& availability_zone) const;
   const std::map<std::string, EndpointRecord>& endpoints() const {
     return this->records;
   }
 
  private:
+  struct ListKey {
+    std::string service;
+    std::string availability_zone;
+    auto operator<=>(const ListKey& other) const = default;
+  };
+  void RebuildLists() const;
+
   std::map<std::string, EndpointRecord> records;
+  // Follow from the records; rebuilt when first asked for after a change.
+  mutable std::map<ListKey, std::vector<const EndpointRecord*>> lists;
+  mutable bool lists_valid = false;
 };
 
 }  // namespace savoryring
--- a/src/libplacement/control_state.cc
+++ b/src/libplacement/control_state.cc
@@ -163,6 +163,8 @@
     case wire::Command::kSettleClaim:
       this->claim_table.Settle(command.settle_claim().claim());
       return {};
+    case wire::Command::kDecideTask:
+      return this->ApplyDecideTask(command.decide_task());
     case wire::Command::BODY_NOT_SET:
       return {};
   }
@@ -577,6 +579,25 @@
                     : "resumes from checkpoint " + task.checkpoint());
 }
 
+ApplyResult ControlState::ApplyDecideTask(const wire::DecideTask& command) {
+  const auto found = this->task_records.find(command.task());
+  const bool open_question =
+      found != this->task_records.end() &&
+      (found->second.state() == wire::TASK_STATE_OUTCOME_UNKNOWN ||
+       (found->second.state() == wire::TASK_STATE_PARKED && command.resume()));
+  if (!open_question)
+    return {.code = ResultCode::kNothingToDecide, .task = command.task()};
+  wire::TaskRecord& task = found->second;
+  this->ended_tasks.erase(task.sequence());
+  task.clear_failed_workers();
+  task.clear_parked_why();
+  this->SetState(task, command.resume() ? wire::TASK_STATE_PENDING
+                                        : wire::TASK_STATE_FINISHED);
+  this->AddStep(task, command.resume() ? "pending" : "finished",
+                "an operator decided so");
+  return {.task = command.task()};
+}
+
 ApplyResult ControlState::ApplyParkTask(const wire::ParkTask& command) {
   const auto found = this->task_records.find(command.task());
   if (found == this->task_records.end() ||
--- a/src/libplacement/control_state.h
+++ b/src/libplacement/control_state.h
@@ -86,6 +86,7 @@
   ApplyResult ApplyThrottleTask(const wire::ThrottleTask& command);
   ApplyResult ApplyReportTasks(const wire::ReportTasks& command);
   ApplyResult ApplyParkTask(const wire::ParkTask& command);
+  ApplyResult ApplyDecideTask(const wire::DecideTask& command);
   ApplyResult ApplyDrainWorker(const wire::DrainWorker& command);
 
   void ReviveParked(const Resources& capacity);
--- a/src/libplacement/control_state_test.cc
+++ b/src/libplacement/control_state_test.cc
@@ -132,6 +132,19 @@
   STRCMP_EQUAL("9", this->state.FindTask(once)->checkpoint().c_str());
 }
 
+TEST(ControlState, AnOperatorDecidesOnWorkWhoseOutcomeIsUnknown) {
+  this->Register("w", 8);
+  const std::string task = this->Submit("a", false);
+  wire::Command command;
+  command.mutable_decide_task()->set_task(task);
+  command.mutable_decide_task()->set_resume(true);
+  CHECK(this->Apply(command).code == ResultCode::kNothingToDecide);
+  this->Assign(task, "w");
+  this->Lose("w");
+  CHECK(this->Apply(command).code == ResultCode::kOk);
+  CHECK(this->StateOf(task) == wire::TASK_STATE_PENDING);
+}
+
 TEST(ControlState, TheSameKeyIsTheSameTask) {
   const std::string task = this->Submit("a", true);
   STRCMP_EQUAL(task.c_str(), this->Submit("a", true).c_str());
--- a/src/librouting/router.cc
+++ b/src/librouting/router.cc
@@ -15,6 +15,9 @@
 // Load of a zone's endpoints up to which requests stay in the zone.
 constexpr double kZoneLoadLimit = 1.0;
 constexpr int kHedgeTailMultiple = 2;
+// Lists longer than this are sampled, down to this many usable endpoints.
+constexpr std::size_t kSampledAbove = 24;
+constexpr std::size_t kSample = 6;
 
 }  // namespace
 
@@ -199,44 +202,69 @@
 // even without every entry running to the same idle endpoint. Candidates are
 // those of the own zone as long as one of them has a free slot.
 const EndpointRecord* Router::Choose(const OpenRequest& open, TimePoint now) {
-  std::vector<const EndpointRecord*> near;
-  std::vector<const EndpointRecord*> all;
-  std::vector<const EndpointRecord*> ejected;
   const std::string& service = open.request.service;
-  bool near_has_room = false;
-  for (const auto& [id, record] : this->endpoints.endpoints()) {
+  const auto& all = this->endpoints.Of(service, "");
+  if (this->options.use_random_choice)
+    return this->Pick(this->Usable(open, all, now), service);
+  const auto& near =
+      this->endpoints.Of(service, this->options.availability_zone);
+  const auto near_usable = this->Usable(open, near, now);
+  const bool near_has_room =
+      std::ranges::any_of(near_usable, [&](const EndpointRecord* record) {
+        return this->scores.Load(*record, service) < kZoneLoadLimit;
+      });
+  if (near_has_room)
+    return this->Pick(near_usable, service);
+  return this->Pick(this->Usable(open, all, now), service);
+}
+
+// The endpoints of a list that may take the request; of a long list a random
+// sample, so that a choice costs the same in a large estate. Ejected ones only
+// where there is no other.
+std::vector<const EndpointRecord*> Router::Usable(
+    const OpenRequest& open,
+    const std::vector<const EndpointRecord*>& list,
+    TimePoint now) {
+  std::vector<const EndpointRecord*> usable;
+  std::vector<const EndpointRecord*> ejected;
+  const bool sample = list.size() > kSampledAbove;
+  for (std::size_t i = 0; i < list.size(); ++i) {
+    const EndpointRecord* record =
+        sample ? list[this->Below(list.size())] : list[i];
     const bool tried =
-        std::ranges::find(open.attempts, id, &OpenAttempt::endpoint) !=
+        std::ranges::find(open.attempts, record->id, &OpenAttempt::endpoint) !=
         open.attempts.end();
-    if (tried || !record.Serves(service, now))
-      continue;
-    if (this->scores.IsEjected(id, now)) {
-      ejected.push_back(&record);
+    if (tried || !record->Serves(open.request.service, now))
       continue;
-    }
-    all.push_back(&record);
-    if (record.availability_zone != this->options.availability_zone)
-      continue;
-    near.push_back(&record);
-    near_has_room =
-        near_has_room || this->scores.Load(record, service) < kZoneLoadLimit;
+    if (this->scores.IsEjected(record->id, now))
+      ejected.push_back(record);
+    else
+      usable.push_back(record);
+    if (sample && usable.size() >= kSample)
+      break;
   }
-  const bool stay_near = near_has_room && !this->options.use_random_choice;
-  const auto& candidates = all.empty() ? ejected : stay_near ? near : all;
+  return usable.empty() ? ejected : usable;
+}
+
+const EndpointRecord* Router::Pick(
+    const std::vector<const EndpointRecord*>& candidates,
+    const std::string& service) {
   if (candidates.empty())
     return nullptr;
-  const EndpointRecord* first =
-      candidates[this->random(static_cast<std::uint32_t>(candidates.size()))];
+  const EndpointRecord* first = candidates[this->Below(candidates.size())];
   if (this->options.use_random_choice)
     return first;
-  const EndpointRecord* second =
-      candidates[this->random(static_cast<std::uint32_t>(candidates.size()))];
+  const EndpointRecord* second = candidates[this->Below(candidates.size())];
   return this->scores.Cost(*first, service) <=
                  this->scores.Cost(*second, service)
              ? first
              : second;
 }
 
+std::size_t Router::Below(std::size_t limit) {
+  return static_cast<std::size_t>(this->random() % limit);
+}
+
 void Router::CheckRequest(std::uint64_t id, TimePoint now) {
   const auto found = this->requests.find(id);
   if (found == this->requests.end())
--- a/src/librouting/router.h
+++ b/src/librouting/router.h
@@ -167,6 +167,15 @@
   void BeginAttempts(OpenRequest& open, TimePoint now);
   bool StartAttempt(OpenRequest& open, TimePoint now);
   const EndpointRecord* Choose(const OpenRequest& open, TimePoint now);
+  std::vector<const EndpointRecord*> Usable(
+      const OpenRequest& open,
+      const std::vector<const EndpointRecord*>& list,
+      TimePoint now);
+  const EndpointRecord* Pick(
+      const std::vector<const EndpointRecord*>& candidates,
+      const std::string& service);
+  /// A random number below `limit`.
+  std::size_t Below(std::size_t limit);
   void CheckRequest(std::uint64_t id, TimePoint now);
   void CheckAttempt(OpenRequest& open, OpenAttempt& attempt, TimePoint now);
   void TryElsewhere(OpenRequest& open, ResultCode refusal, TimePoint now);
--- a/src/savoryring/commands.cc
+++ b/src/savoryring/commands.cc
@@ -208,6 +208,9 @@
     answer = CallSystem(FLAGS_server, "GET", "/tasks/" + name);
   } else if (action == "cancel") {
     answer = CallSystem(FLAGS_server, "DELETE", "/tasks/" + name);
+  } else if (action == "resume" || action == "settle") {
+    answer = CallSystem(FLAGS_server, "POST", "/tasks/" + name + "/" + action,
+                        json::object());
   } else {
     throw Error(ResultCode::kUnknownCommand, "task " + action);
   }
@@ -321,8 +324,10 @@
                "tell why a task is where it is, or why it can't run", &Explain},
     CliCommand{"task",
                "task submit CLASS [--key=K] [--team=T] [--urgent] | "
-               "task show ID | task cancel ID",
-               "submit, show or cancel one task", &Task},
+               "task show|cancel|resume|settle ID",
+               "submit, show or cancel one task; of one whose outcome is "
+               "unknown, say that it is to go on or that it had finished",
+               &Task},
     CliCommand{"drain", "drain WORKER [--end]",
                "move all tasks off a worker, or let it take work again",
                &Drain},
--- a/testsuite/bench/bench_cores.cc
+++ b/testsuite/bench/bench_cores.cc
@@ -158,8 +158,8 @@
     std::cout << "  tasks " << std::setw(6) << tasks << "  snapshot KB "
               << std::setw(7) << bytes.size() / 1024 << "  save ms "
               << std::setw(8) << save_ms << "  restore ms " << std::setw(8)
-              << restore_ms << "  resident MB "
-              << (after - before) / (1 << 20) << '\n';
+              << restore_ms << "  resident MB " << (after - before) / (1 << 20)
+              << '\n';
   }
 }
 
@@ -237,11 +237,10 @@
                           .deadline = kBegin + Milliseconds(1000),
                           .repeatable = true},
                          kBegin);
-        router.OnNews({.key = {.entry = "e",
-                               .entry_incarnation = 1,
-                               .counter = i},
-                       .state = wire::ATTEMPT_ANSWERED},
-                      kBegin);
+        router.OnNews(
+            {.key = {.entry = "e", .entry_incarnation = 1, .counter = i},
+             .state = wire::ATTEMPT_ANSWERED},
+            kBegin);
         router.TakeEffects();
       }
     });
@@ -298,8 +297,8 @@
     std::vector<double> times;
     for (int i = 0; i < kWrites; ++i) {
       times.push_back(TimeMs([&] {
-        [[maybe_unused]] const auto size = pwrite(
-            file, page.data(), page.size(), std::int64_t{i} * 4096);
+        [[maybe_unused]] const auto size =
+            pwrite(file, page.data(), page.size(), std::int64_t{i} * 4096);
         fdatasync(file);
       }));
     }
