--- a/src/savoryringd/control_duty.cc
+++ b/src/savoryringd/control_duty.cc
@@ -19,13 +19,6 @@
   return ids;
 }
 
-std::vector<std::string> LinksOf(const std::vector<ControlPeer>& controls) {
-  std::vector<std::string> links;
-  for (const ControlPeer& peer : controls)
-    links.push_back(peer.link);
-  return links;
-}
-
 std::map<std::string, std::string> LinksById(
     const std::vector<ControlPeer>& controls) {
   std::map<std::string, std::string> links;
@@ -66,7 +59,7 @@
           MakeOptions(process.settings(), this->store.self(), process.Random()),
           this->store.TakeStored(),
           BootClock::now()),
-      client({.links = LinksOf(process.settings().controls)}),
+      caller(this->link, process.settings().controls),
       liveness(process.settings().timing.replica_heartbeat *
                kPatienceHeartbeats),
       replica_links(LinksById(process.settings().controls)),
@@ -113,24 +106,7 @@
     return *common;
   const TimePoint deadline =
       RequestDeadline(request, kCallTimeout, BootClock::now());
-  wire::ControlCall call;
-  call.set_method(request.method);
-  call.set_path(request.path);
-  call.set_body(request.body);
-  auto promise = std::make_shared<std::promise<wire::ControlReply>>();
-  std::future<wire::ControlReply> answer = promise->get_future();
-  this->loop.Post([this, call, promise, deadline]() mutable {
-    const auto deliver = [promise](const wire::ControlReply& reply) {
-      promise->set_value(reply);
-    };
-    call.set_call_id(this->waiter.Add(deliver));
-    this->client.OnCall(call, deadline, BootClock::now());
-  });
-  const auto wait =
-      RemainingTime(BootClock::now(), deadline) + Milliseconds(500);
-  if (answer.wait_for(wait) != std::future_status::ready)
-    return MakeResultResponse(ResultCode::kNotCommittedInTime, "");
-  return ToHttpResponse(answer.get());
+  return this->caller.Forward(request, deadline, this->loop);
 }
 
 void ControlDuty::OnMessage(const Received& message, TimePoint now) {
@@ -160,12 +136,9 @@
     case wire::CONTROL_CALL:
       this->OnControlCall(message, now);
       return;
-    case wire::CONTROL_REPLY: {
-      wire::ControlReply reply;
-      if (reply.ParseFromString(envelope.body()))
-        this->client.OnReply(message.origin.address, reply, now);
+    case wire::CONTROL_REPLY:
+      this->caller.OnReply(message, now);
       return;
-    }
     default:
       return;
   }
@@ -217,7 +190,7 @@
 
 void ControlDuty::OnTick(TimePoint now) {
   this->core.OnTick(now);
-  this->client.OnTick(now);
+  this->caller.OnTick(now);
   for (const std::string& address : this->liveness.TakeSilent(now))
     this->link.Replace(address);
   this->ready = this->core.IsReady(now);
@@ -232,7 +205,7 @@
 }
 
 void ControlDuty::OnBatchEnd(TimePoint now) {
-  this->RunClientEffects();
+  this->caller.RunEffects();
   this->Flush(now);
   this->RunEffects(now);
 }
@@ -298,20 +271,6 @@
   this->liveness.OnSent(address->second, now);
 }
 
-void ControlDuty::RunClientEffects() {
-  for (const ControlClientEffect& effect : this->client.TakeEffects()) {
-    if (const auto* send = std::get_if<SendCall>(&effect)) {
-      this->link.Send(send->link, wire::CONTROL_CALL,
-                      send->call.SerializeAsString());
-    } else if (const auto* replace =
-                   std::get_if<ReplaceControlConnection>(&effect)) {
-      this->link.Replace(replace->link);
-    } else {
-      this->waiter.Deliver(std::get<DeliverReply>(effect).reply);
-    }
-  }
-}
-
 void ControlDuty::NoteProcess(const std::string& duty,
                               const wire::Envelope& envelope,
                               TimePoint now) {
--- a/src/savoryringd/control_duty.h
+++ b/src/savoryringd/control_duty.h
@@ -11,12 +11,11 @@
 
 #include "libcontrol/control_core.h"
 #include "libreplication/replica_store.h"
-#include "libtransport/control_client.h"
 #include "libtransport/duty_loop.h"
 #include "libtransport/http.h"
 #include "libtransport/link.h"
 #include "libtransport/peer_liveness.h"
-#include "savoryringd/call_waiter.h"
+#include "savoryringd/control_caller.h"
 #include "savoryringd/process.h"
 
 namespace savoryring {
@@ -50,7 +49,6 @@
   void Flush(TimePoint now);
   void Store(const ReplicaOutput& output);
   void RunEffects(TimePoint now);
-  void RunClientEffects();
   void NoteProcess(const std::string& duty,
                    const wire::Envelope& envelope,
                    TimePoint now);
@@ -59,8 +57,7 @@
   ReplicaStore store;
   Link link;
   ControlCore core;
-  ControlClient client;  // carries this process's own HTTP calls to the leader
-  CallWaiter waiter;
+  ControlCaller caller;  // carries this process's HTTP calls to the leader
   PeerLiveness liveness;
   TimePoint publish_deadline;
   std::uint64_t last_ticket = 0;
--- a/src/savoryringd/endpoint_duty.cc
+++ b/src/savoryringd/endpoint_duty.cc
@@ -15,7 +15,6 @@
 constexpr std::size_t kWorkerThreads = 4;
 constexpr Milliseconds kPollInterval{250};
 constexpr Milliseconds kUsageInterval{1000};
-constexpr Milliseconds kFetchInterval{50};
 // Silence after which a local endpoint counts as leaving.
 constexpr Milliseconds kLocalValid{3000};
 // Heartbeats that an announcement stays valid.
@@ -57,6 +56,7 @@
       runner({.incarnation = process.incarnation(),
               .lease = process.settings().timing.worker_lease},
              BootClock::now()),
+      estate(this->link),
       liveness(process.settings().timing.heartbeat * kPatienceHeartbeats),
       endpoint_pool(kEndpointThreads),
       worker_pool(kWorkerThreads),
@@ -157,7 +157,7 @@
 void EndpointDuty::OnMessage(const Received& message, TimePoint now) {
   if (!message.origin.address.empty())
     this->liveness.OnHeard(message.origin.address);
-  this->LearnRevision(message, now);
+  this->estate.OnMessage(message, now);
   switch (message.envelope.kind()) {
     case wire::ATTEMPT:
       this->OnAttempt(message, now);
@@ -168,43 +168,11 @@
     case wire::WORKER_ORDERS:
       this->OnOrders(message, now);
       return;
-    case wire::ESTATE_UPDATE: {
-      wire::EstateUpdate update;
-      if (update.ParseFromString(message.envelope.body()) &&
-          this->estate.Apply(update)) {
-        this->link.SetRevision(this->estate.revision());
-        LogEvent(Event::kEstateApplied,
-                 {{"revision", std::to_string(this->estate.revision())}});
-      }
-      return;
-    }
-    case wire::ESTATE_FETCH: {
-      wire::EstateFetch fetch;
-      if (fetch.ParseFromString(message.envelope.body())) {
-        this->link.Reply(message.origin, wire::ESTATE_UPDATE,
-                         this->estate.ChangesSince(fetch.known_revision())
-                             .SerializeAsString());
-      }
-      return;
-    }
     default:
       return;
   }
 }
 
-void EndpointDuty::LearnRevision(const Received& message, TimePoint now) {
-  const bool behind = message.envelope.revision() > this->estate.revision() &&
-                      message.envelope.kind() != wire::ESTATE_UPDATE;
-  if (!behind || now < this->fetch_deadline)
-    return;
-  this->fetch_deadline = now + kFetchInterval;
-  wire::EstateFetch fetch;
-  fetch.set_known_revision(this->estate.revision());
-  fetch.add_sections("services");
-  this->link.Reply(message.origin, wire::ESTATE_FETCH,
-                   fetch.SerializeAsString());
-}
-
 void EndpointDuty::OnAttempt(const Received& message, TimePoint now) {
   wire::Attempt attempt;
   if (!attempt.ParseFromString(message.envelope.body()) ||
--- a/src/savoryringd/endpoint_duty.h
+++ b/src/savoryringd/endpoint_duty.h
@@ -10,7 +10,6 @@
 #include <optional>
 #include <string>
 
-#include "libestate/estate_state.h"
 #include "libplacement/task_runner.h"
 #include "librouting/admission.h"
 #include "librouting/latency_windows.h"
@@ -19,6 +18,7 @@
 #include "libtransport/link.h"
 #include "libtransport/peer_liveness.h"
 #include "libtransport/work_pool.h"
+#include "savoryringd/estate_follower.h"
 #include "savoryringd/process.h"
 #include "savoryringd/worker.h"
 
@@ -56,7 +56,6 @@
   void OnAttempt(const Received& message, TimePoint now);
   void OnBar(const Received& message, TimePoint now);
   void OnOrders(const Received& message, TimePoint now);
-  void LearnRevision(const Received& message, TimePoint now);
   void RunAdmissionEffects(TimePoint now);
   void Run(const AttemptKey& key, TimePoint now);
   void Tell(const TellAttempt& effect);
@@ -73,7 +72,7 @@
   Link link;
   Admission admission;
   TaskRunner runner;
-  EstateCache estate;
+  EstateFollower estate;
   PeerLiveness liveness;
   std::map<AttemptKey, KeptAttempt> attempts;
   std::map<AttemptKey, Origin> origins;  // of entries that asked just now
@@ -88,7 +87,6 @@
   TimePoint usage_deadline;
   TimePoint announce_deadline;
   TimePoint heartbeat_deadline;
-  TimePoint fetch_deadline;
   std::atomic<bool> ready{false};
   std::atomic<bool> leaving{false};
   WorkPool endpoint_pool;
--- a/src/savoryringd/entry_duty.cc
+++ b/src/savoryringd/entry_duty.cc
@@ -14,20 +14,9 @@
 constexpr Milliseconds kControlTimeout{5000};
 // How long a starting entry waits for a majority of the control group.
 constexpr Milliseconds kServeDelay{3000};
-constexpr Milliseconds kFetchInterval{50};
-// The HTTP thread outlasts the request's deadline by this, so that the
-// router's own answer reaches it.
-constexpr Milliseconds kAnswerGrace{300};
 // Longest time that an answer waits for its claim to be settled.
 constexpr Milliseconds kSettleTimeout{1000};
 
-std::vector<std::string> LinksOf(const std::vector<ControlPeer>& controls) {
-  std::vector<std::string> links;
-  for (const ControlPeer& peer : controls)
-    links.push_back(peer.link);
-  return links;
-}
-
 bool IsRepeatable(const HttpRequest& request) {
   const std::string text = request.Header("Savoryring-Repeatable");
   if (text == "yes")
@@ -61,7 +50,8 @@
               .availability_zone = process.settings().availability_zone,
               .acknowledge = process.settings().timing.acknowledge,
               .seed = process.Random()}),
-      client({.links = LinksOf(process.settings().controls)}),
+      estate(this->link),
+      control(this->link, process.settings().controls),
       serve_deadline(BootClock::now() + kServeDelay),
       loop(this->link, *this) {}
 
@@ -158,24 +148,7 @@
   span.context = this->process->NewSpan(request.Header("traceparent"));
   span.name = "entry.control";
   span.start = begin;
-  wire::ControlCall call;
-  call.set_method(request.method);
-  call.set_path(request.path);
-  call.set_body(request.body);
-  auto promise = std::make_shared<std::promise<wire::ControlReply>>();
-  std::future<wire::ControlReply> answer = promise->get_future();
-  this->loop.Post([this, call, promise, deadline]() mutable {
-    const auto deliver = [promise](const wire::ControlReply& reply) {
-      promise->set_value(reply);
-    };
-    call.set_call_id(this->waiter.Add(deliver));
-    this->client.OnCall(call, deadline, BootClock::now());
-  });
-  const auto wait = RemainingTime(begin, deadline) + kAnswerGrace;
-  HttpResponse response =
-      answer.wait_for(wait) == std::future_status::ready
-          ? ToHttpResponse(answer.get())
-          : MakeResultResponse(ResultCode::kNotCommittedInTime, "");
+  HttpResponse response = this->control.Forward(request, deadline, this->loop);
   span.end = BootClock::now();
   span.status = response.status;
   this->process->spans().Write(span);
@@ -204,7 +177,9 @@
 
 void EntryDuty::OnMessage(const Received& message, TimePoint now) {
   this->heard_anyone = true;
-  this->LearnRevision(message, now);
+  const EstateNews news = this->estate.OnMessage(message, now);
+  if (news == EstateNews::kApplied)
+    this->router.OnEstate(this->estate.cache().estate());
   switch (message.envelope.kind()) {
     case wire::ENDPOINT_ANNOUNCEMENT:
       this->OnAnnouncement(message, now);
@@ -213,43 +188,17 @@
       this->OnAttemptUpdate(message, now);
       return;
     case wire::ESTATE_UPDATE:
-      this->OnEstateUpdate(message);
+      if (!message.origin.address.empty())
+        this->heard_controls.insert(message.origin.address);
       return;
-    case wire::ESTATE_FETCH: {
-      wire::EstateFetch fetch;
-      if (fetch.ParseFromString(message.envelope.body())) {
-        this->link.Reply(message.origin, wire::ESTATE_UPDATE,
-                         this->estate.ChangesSince(fetch.known_revision())
-                             .SerializeAsString());
-      }
-      return;
-    }
-    case wire::CONTROL_REPLY: {
-      wire::ControlReply reply;
-      if (reply.ParseFromString(message.envelope.body()))
-        this->client.OnReply(message.origin.address, reply, now);
+    case wire::CONTROL_REPLY:
+      this->control.OnReply(message, now);
       return;
-    }
     default:
       return;
   }
 }
 
-// Every message tells its sender's revision: whoever is behind asks whoever
-// is ahead, so that a process cut off from control still learns it.
-void EntryDuty::LearnRevision(const Received& message, TimePoint now) {
-  const bool behind = message.envelope.revision() > this->estate.revision() &&
-                      message.envelope.kind() != wire::ESTATE_UPDATE;
-  if (!behind || now < this->fetch_deadline)
-    return;
-  this->fetch_deadline = now + kFetchInterval;
-  wire::EstateFetch fetch;
-  fetch.set_known_revision(this->estate.revision());
-  fetch.add_sections("services");
-  this->link.Reply(message.origin, wire::ESTATE_FETCH,
-                   fetch.SerializeAsString());
-}
-
 void EntryDuty::OnAnnouncement(const Received& message, TimePoint now) {
   wire::EndpointAnnouncement announcement;
   if (!announcement.ParseFromString(message.envelope.body()))
@@ -261,9 +210,7 @@
                               announcement, now);
   // The answer shows the endpoint process that its connection works, and
   // brings it a newer estate where there is one.
-  this->link.Reply(message.origin, wire::ESTATE_UPDATE,
-                   this->estate.ChangesSince(message.envelope.revision())
-                       .SerializeAsString());
+  this->estate.Answer(message.origin, message.envelope.revision());
 }
 
 void EntryDuty::OnAttemptUpdate(const Received& message, TimePoint now) {
@@ -285,24 +232,10 @@
   this->current_update = nullptr;
 }
 
-void EntryDuty::OnEstateUpdate(const Received& message) {
-  wire::EstateUpdate update;
-  if (!update.ParseFromString(message.envelope.body()))
-    return;
-  if (!message.origin.address.empty())
-    this->heard_controls.insert(message.origin.address);
-  if (!this->estate.Apply(update))
-    return;
-  this->router.OnEstate(this->estate.estate());
-  this->link.SetRevision(this->estate.revision());
-  LogEvent(Event::kEstateApplied,
-           {{"revision", std::to_string(this->estate.revision())}});
-}
-
 void EntryDuty::OnTick(TimePoint now) {
   this->router.OnTick(now);
   this->RunRouterEffects(now);
-  this->client.OnTick(now);
+  this->control.OnTick(now);
   this->ready = this->ready || this->HasHeardMajority() ||
                 (now >= this->serve_deadline && this->heard_anyone);
   if (now < this->heartbeat_deadline)
@@ -324,7 +257,7 @@
 }
 
 void EntryDuty::OnBatchEnd(TimePoint) {
-  this->RunClientEffects();
+  this->control.RunEffects();
 }
 
 void EntryDuty::RunRouterEffects(TimePoint now) {
@@ -430,27 +363,12 @@
                               const wire::ClaimRecord& claim,
                               TimePoint deadline,
                               TimePoint now,
-                              CallWaiter::Function function) {
+                              ControlCaller::Function function) {
   wire::ControlCall call;
-  call.set_call_id(this->waiter.Add(std::move(function)));
   call.set_method(method);
   call.set_path("/claims");
   call.set_body(claim.SerializeAsString());
-  this->client.OnCall(call, deadline, now);
-}
-
-void EntryDuty::RunClientEffects() {
-  for (const ControlClientEffect& effect : this->client.TakeEffects()) {
-    if (const auto* send = std::get_if<SendCall>(&effect)) {
-      this->link.Send(send->link, wire::CONTROL_CALL,
-                      send->call.SerializeAsString());
-    } else if (const auto* replace =
-                   std::get_if<ReplaceControlConnection>(&effect)) {
-      this->link.Replace(replace->link);
-    } else {
-      this->waiter.Deliver(std::get<DeliverReply>(effect).reply);
-    }
-  }
+  this->control.Call(std::move(call), deadline, now, std::move(function));
 }
 
 void EntryDuty::Answer(std::uint64_t request, HttpResponse response) {
--- a/src/savoryringd/entry_duty.h
+++ b/src/savoryringd/entry_duty.h
@@ -10,14 +10,13 @@
 #include <set>
 #include <string>
 
-#include "libestate/estate_state.h"
 #include "librouting/router.h"
 #include "librouting/routing.pb.h"
-#include "libtransport/control_client.h"
 #include "libtransport/duty_loop.h"
 #include "libtransport/http.h"
 #include "libtransport/link.h"
-#include "savoryringd/call_waiter.h"
+#include "savoryringd/control_caller.h"
+#include "savoryringd/estate_follower.h"
 #include "savoryringd/process.h"
 
 namespace savoryring {
@@ -57,10 +56,7 @@
 
   void OnAnnouncement(const Received& message, TimePoint now);
   void OnAttemptUpdate(const Received& message, TimePoint now);
-  void OnEstateUpdate(const Received& message);
-  void LearnRevision(const Received& message, TimePoint now);
   void RunRouterEffects(TimePoint now);
-  void RunClientEffects();
   void Send(const SendAttempt& effect, TimePoint now);
   void Ask(const AskClaim& effect, TimePoint now);
   void Settle(const SettleClaim& effect, TimePoint now);
@@ -71,15 +67,14 @@
                      const wire::ClaimRecord& claim,
                      TimePoint deadline,
                      TimePoint now,
-                     CallWaiter::Function function);
+                     ControlCaller::Function function);
   bool HasHeardMajority() const;
 
   Process* process;
   Link link;
   Router router;
-  EstateCache estate;
-  ControlClient client;
-  CallWaiter waiter;
+  EstateFollower estate;
+  ControlCaller control;
   std::uint64_t last_request = 0;
   std::map<std::uint64_t, std::unique_ptr<OpenCall>> calls;
   // The update whose news the router is being told; nothing outside that.
@@ -90,7 +85,6 @@
   std::set<std::string> heard_controls;
   TimePoint serve_deadline;  // when the entry serves with what it can reach
   TimePoint heartbeat_deadline;
-  TimePoint fetch_deadline;
   bool heard_anyone = false;
   std::atomic<bool> ready{false};
   std::atomic<bool> leaving{false};
