--- a/src/libplacement/control_state.h
+++ b/src/libplacement/control_state.h
@@ -13,6 +13,7 @@
 #include "libestate/estate_state.h"
 #include "libplacement/claim_table.h"
 #include "libplacement/placement.pb.h"
+#include "libplacement/task_rules.h"
 #include "savoryring/estate.h"
 #include "savoryring/result.h"
 
@@ -31,15 +32,6 @@
   std::set<std::string> tasks;  ///< Assigned or stopping here.
 };
 
-/// Order of pending tasks: urgent first, then the older one.
-struct PendingKey {
-  bool relaxed = false;  ///< False for urgent tasks.
-  std::uint64_t sequence = 0;
-  std::string task;
-
-  auto operator<=>(const PendingKey& other) const = default;
-};
-
 /// What applying a command answered.
 struct ApplyResult {
   ResultCode code = ResultCode::kOk;
@@ -130,16 +122,6 @@
   std::map<std::uint64_t, std::string> ended_tasks;  // submitted ones, by age
 };
 
-/// Whether the task will never run again.
-bool IsEnded(wire::TaskState state);
-/// Whether the task holds resources on a worker.
-bool HoldsWorker(wire::TaskState state);
-/// Whether the report tells how a run ended whose outcome was unknown.
-bool IsLateNews(const wire::TaskRecord& task, const wire::TaskReport& report);
-Resources ResourcesOf(const wire::TaskSpec& spec);
-wire::TaskSpec ToTaskSpec(const WorkSpec& spec);
-std::string NameOf(wire::TaskState state);
-
 }  // namespace savoryring
 
 #endif  // SAVORYRING_LIBPLACEMENT_CONTROL_STATE_H_
--- a/src/libreplication/replica.h
+++ b/src/libreplication/replica.h
@@ -25,6 +25,10 @@
   auto operator<=>(const MemberId& other) const = default;
 };
 
+MemberId ToMemberId(const wire::Member& member);
+void FillMember(const MemberId& id, wire::Member* member);
+wire::Membership ToMembership(const std::vector<MemberId>& voters);
+
 /// Mechanisms that a test may switch off to show that its proof needs them.
 struct ReplicaMutations {
   bool skip_vote_sync = false;          ///< Votes are not stored.
--- /dev/null
+++ b/testsuite/schedule/entry_node.cc
@@ -0,0 +1,227 @@
+#include <utility>
+
+#include "testsuite/schedule/nodes.h"
+
+namespace savoryring {
+
+EntryNode::EntryNode(TestEstate& all, std::string name, DriftingClock clock)
+    : Node(all, std::move(name), clock) {}
+
+void EntryNode::OnStart() {
+  this->router = std::make_unique<Router>(
+      RouterOptions{.entry = this->name(),
+                    .incarnation = this->incarnation,
+                    .acknowledge = Milliseconds(60),
+                    .seed = this->world().Random(1U << 30U),
+                    .mutations = this->all->options.mutations.router});
+  this->client = std::make_unique<ControlClient>(ControlClientOptions{
+      .links = NamesOf("control", this->all->options.controls)});
+  this->cache = {};
+  this->heartbeat_deadline = TimePoint();
+}
+
+void EntryNode::OnKill() {
+  this->router.reset();
+  this->client.reset();
+  this->open.clear();
+  this->waiting.clear();
+}
+
+void EntryNode::OnTick() {
+  const TimePoint now = this->LocalNow();
+  this->router->OnTick(now);
+  this->RunRouterEffects();
+  this->client->OnTick(now);
+  this->RunClientEffects();
+  if (now < this->heartbeat_deadline)
+    return;
+  this->heartbeat_deadline = now + kHeartbeat;
+  for (const auto& control : this->all->controls) {
+    ControlNode* to = control.get();
+    this->SendOwn(*to, [this, to, known = this->cache.revision()] {
+      const auto update =
+          to->core()->state().estate().ChangesSince(known, {"services"});
+      to->Reply(*this, [this, update] { this->OnRevision(update); });
+    });
+  }
+}
+
+void EntryNode::OnRevision(const wire::EstateUpdate& update) {
+  if (!this->cache.Apply(update))
+    return;
+  this->router->OnEstate(this->cache.estate());
+  this->ledger().OnInForce(this->name() + "/cache", update.revision(), "");
+}
+
+void EntryNode::OnAnnouncement(const std::string& sender,
+                               std::uint64_t sender_incarnation,
+                               const wire::EndpointAnnouncement& announcement,
+                               std::uint64_t revision) {
+  this->router->OnAnnouncement(sender, sender_incarnation, announcement,
+                               this->LocalNow());
+  auto* to = static_cast<VmNode*>(this->all->Find(sender));
+  this->Reply(*to, [to, from = this->name(),
+                    update = this->cache.ChangesSince(revision)] {
+    to->OnHeard(from);
+    to->OnRevision(update);
+  });
+}
+
+void EntryNode::OnNews(const AttemptNews& news,
+                       std::uint64_t answered_request) {
+  this->current_answered = answered_request;
+  this->router->OnNews(news, this->LocalNow());
+  this->RunRouterEffects();
+}
+
+void EntryNode::Request(const Sending& sending,
+                        bool repeatable,
+                        const std::string& key,
+                        Milliseconds timeout,
+                        std::function<void(bool)> answered) {
+  const TimePoint now = this->LocalNow();
+  const std::uint64_t id = this->next_id++;
+  Open& request = this->open[id];
+  request.sending = sending;
+  request.request = {.id = id,
+                     .service = kService,
+                     .deadline = now + timeout,
+                     .repeatable = repeatable,
+                     .key = key};
+  request.answered = std::move(answered);
+  const CallerRequest copy = request.request;
+  this->router->OnRequest(copy, now);
+  this->RunRouterEffects();
+}
+
+void EntryNode::Call(const std::string& method,
+                     const std::string& path,
+                     const std::string& body,
+                     Milliseconds timeout,
+                     std::function<void(wire::ControlReply)> answered) {
+  wire::ControlCall call;
+  call.set_call_id(this->next_id++);
+  call.set_method(method);
+  call.set_path(path);
+  call.set_body(body);
+  this->waiting[call.call_id()] = std::move(answered);
+  const TimePoint now = this->LocalNow();
+  this->client->OnCall(call, now + timeout, now);
+  this->RunClientEffects();
+}
+
+void EntryNode::OnControlReply(const std::string& from,
+                               const wire::ControlReply& reply) {
+  this->client->OnReply(from, reply, this->LocalNow());
+  this->RunClientEffects();
+}
+
+void EntryNode::RunClientEffects() {
+  for (const ControlClientEffect& effect : this->client->TakeEffects()) {
+    if (const auto* send = std::get_if<SendCall>(&effect)) {
+      auto* to = static_cast<ControlNode*>(this->all->Find(send->link));
+      this->SendOwn(*to, [this, to, call = send->call] {
+        to->OnCall(call,
+                   [this, to, id = call.call_id()](wire::ControlReply reply) {
+                     reply.set_call_id(id);
+                     to->Reply(*this, [this, from = to->name(), reply] {
+                       this->OnControlReply(from, reply);
+                     });
+                   });
+      });
+    } else if (const auto* replace =
+                   std::get_if<ReplaceControlConnection>(&effect)) {
+      this->world().silent.erase({.from = this->name(), .to = replace->link});
+    } else {
+      const wire::ControlReply& reply = std::get<DeliverReply>(effect).reply;
+      const auto found = this->waiting.find(reply.call_id());
+      if (found == this->waiting.end())
+        continue;
+      const auto answered = std::move(found->second);
+      this->waiting.erase(found);
+      answered(reply);
+    }
+  }
+}
+
+void EntryNode::RunRouterEffects() {
+  for (const RouterEffect& effect : this->router->TakeEffects()) {
+    if (const auto* send = std::get_if<SendAttempt>(&effect)) {
+      auto* to = static_cast<VmNode*>(this->all->Find(send->link));
+      const Open& request = this->open.at(send->request);
+      const Milliseconds remaining =
+          RemainingTime(this->LocalNow(), send->deadline);
+      this->SendOwn(*to, [to, copy = *send, sending = request.sending,
+                          repeatable = request.request.repeatable, remaining,
+                          from = this->name()] {
+        to->OnAttempt(copy, kService, sending, repeatable, remaining, from);
+      });
+    } else if (const auto* bar = std::get_if<SendBar>(&effect)) {
+      auto* to = static_cast<VmNode*>(this->all->Find(bar->link));
+      this->SendOwn(*to, [to, copy = *bar, from = this->name()] {
+        to->OnBar(copy, from);
+      });
+    } else if (const auto* replace = std::get_if<ReplaceConnection>(&effect)) {
+      this->world().silent.erase({.from = this->name(), .to = replace->link});
+    } else if (const auto* ask = std::get_if<AskClaim>(&effect)) {
+      const std::uint64_t id = ask->request;
+      this->CallClaim("CLAIM", this->open.at(id), wire::CLAIM_UNKNOWN,
+                      [this, id](const wire::ClaimRecord& claim) {
+                        this->recorded_request = claim.status();
+                        this->router->OnClaim(id, claim.state(),
+                                              this->LocalNow());
+                        this->RunRouterEffects();
+                      });
+    } else if (const auto* settle = std::get_if<SettleClaim>(&effect)) {
+      this->CallClaim("SETTLE", this->open.at(settle->request), settle->state,
+                      [](const wire::ClaimRecord&) {});
+    } else if (const auto* pass = std::get_if<PassAnswer>(&effect)) {
+      this->Answer(pass->request, true, false, this->current_answered);
+    } else if (const auto* recorded = std::get_if<PassRecorded>(&effect)) {
+      this->Answer(recorded->request, true, false, this->recorded_request);
+    } else {
+      const auto& result = std::get<AnswerResult>(effect);
+      this->Answer(result.request, false, InfoOf(result.code).not_run, 0);
+    }
+  }
+}
+
+void EntryNode::CallClaim(
+    const std::string& method,
+    const Open& request,
+    wire::ClaimState state,
+    std::function<void(const wire::ClaimRecord&)> answered) {
+  wire::ClaimRecord claim;
+  claim.set_key(request.request.key);
+  FillAttemptId({.entry = this->name(),
+                 .entry_incarnation = this->incarnation,
+                 .counter = request.request.id},
+                claim.mutable_holder());
+  claim.set_state(state);
+  claim.set_request_checksum(request.sending.request);
+  // The recorded answer of this test is the request that it belongs to.
+  claim.set_status(static_cast<std::uint32_t>(this->current_answered));
+  this->Call(
+      method, "/claims", claim.SerializeAsString(), Milliseconds(1000),
+      [answered](const wire::ControlReply& reply) {
+        wire::ClaimRecord record;
+        if (reply.result_code() != 0 || !record.ParseFromString(reply.body()))
+          record.Clear();
+        answered(record);
+      });
+}
+
+void EntryNode::Answer(std::uint64_t request,
+                       bool passed_on,
+                       bool not_run,
+                       std::uint64_t answered_request) {
+  const auto found = this->open.find(request);
+  if (found == this->open.end())
+    return;
+  const Open copy = std::move(found->second);
+  this->open.erase(found);
+  this->ledger().OnAnswer(copy.sending, not_run, passed_on, answered_request);
+  copy.answered(passed_on);
+}
+
+}  // namespace savoryring
--- a/testsuite/schedule/nodes.h
+++ b/testsuite/schedule/nodes.h
@@ -20,6 +20,14 @@
 
 namespace savoryring {
 
+/// Interval of announcements and heartbeats of the fake shells.
+inline constexpr Milliseconds kHeartbeat{300};
+/// The one service of a schedule.
+inline const std::string kService = "gauge-check";
+
+/// "KIND-1", "KIND-2" and so on.
+std::vector<std::string> NamesOf(const std::string& kind, int count);
+
 /// Mechanisms switched off in every process of a schedule.
 struct Mutations {
   ReplicaMutations replica;
