--- a/src/libplacement/scheduler.cc
+++ b/src/libplacement/scheduler.cc
@@ -13,6 +13,11 @@
 constexpr std::size_t kMostCompared = 48;
 // Cost of a full worker, where a service that passes its target costs one.
 constexpr double kCrowdingWeight = 0.05;
+// Wait before a failed task is tried again, doubled with each failure in a
+// row up to this often, and forgotten after a time without one.
+constexpr Milliseconds kFirstRetry{200};
+constexpr int kMostDoublings = 7;
+constexpr Milliseconds kForgetFailures{60'000};
 // Wait before more room is made for the same urgent task.
 constexpr Milliseconds kRoomRetry{1500};
 
@@ -66,6 +71,8 @@
     const bool news = report.state() != wire::TASK_RUNNING ||
                       (current && report.checkpoint() != task->checkpoint());
     const bool late = task != nullptr && IsLateNews(*task, report);
+    if (current)
+      this->NoteEnd(*task, report.state(), now);
     if ((current && news) || late)
       *reports.add_reports() = report;
   }
@@ -82,6 +89,25 @@
   return commands;
 }
 
+// A task that fails, or a monitor that ends, is tried again after a wait that
+// doubles, so that one that can never run does not fill the log.
+void Scheduler::NoteEnd(const wire::TaskRecord& task,
+                        wire::TaskRunState end,
+                        TimePoint now) {
+  const bool failed = end == wire::TASK_FAILED ||
+                      (end == wire::TASK_FINISHED && task.spec().monitor());
+  if (!failed)
+    return;
+  Backoff& backoff = this->backoffs[task.id()];
+  if (now < backoff.next_try)
+    return;  // the same end, reported again
+  if (now > backoff.next_try + kForgetFailures)
+    backoff.failures = 0;
+  const int doublings = std::min(backoff.failures, kMostDoublings);
+  backoff.next_try = now + kFirstRetry * (1 << doublings);
+  backoff.failures += 1;
+}
+
 bool Scheduler::MayGrantLease(const ControlState& state,
                               const std::string& worker,
                               std::uint64_t incarnation) const {
@@ -184,6 +210,14 @@
 std::string Scheduler::WhyNotReady(const ControlState& state,
                                    const wire::TaskRecord& task,
                                    TimePoint now) const {
+  const auto backoff = this->backoffs.find(task.id());
+  if (backoff != this->backoffs.end() && now < backoff->second.next_try) {
+    return "it failed " + std::to_string(backoff->second.failures) +
+           " times in a row and is tried again in " +
+           std::to_string(
+               RemainingTime(now, backoff->second.next_try).count()) +
+           " ms";
+  }
   for (const std::string& name : task.spec().depends_on()) {
     if (!this->IsUp(state, name, now))
       return "it waits for " + name;
--- a/src/libplacement/scheduler.h
+++ b/src/libplacement/scheduler.h
@@ -69,6 +69,15 @@
     wire::AssignTasks assign;
   };
 
+  // How often a task has failed in a row, and when it is tried again.
+  struct Backoff {
+    int failures = 0;
+    TimePoint next_try;
+  };
+
+  void NoteEnd(const wire::TaskRecord& task,
+               wire::TaskRunState end,
+               TimePoint now);
   void LoseSilentWorkers(const ControlState& state,
                          TimePoint now,
                          std::vector<wire::Command>& commands);
@@ -109,6 +118,7 @@
   Relief relief;
   std::size_t next_candidate = 0;  // where the next search for room begins
   std::map<std::string, TimePoint> room_deadlines;  // by urgent task
+  std::map<std::string, Backoff> backoffs;          // by task
   TimePoint park_start;
   std::map<std::string, std::string> why_pending;
 };
--- a/src/librouting/retry_budget.h
+++ b/src/librouting/retry_budget.h
@@ -14,17 +14,22 @@
     this->retries = std::min(this->retries + kShare, kMostRetries);
   }
   /// Takes one retry; false where none is left.
-  bool Spend() {
-    if (this->retries < 1)
+  bool Spend() { return this->SpendAbove(0); }
+  /// Takes one for a hedge; false where only those kept for retries are left.
+  bool SpendForHedge() { return this->SpendAbove(kKeptForRetries); }
+
+ private:
+  static constexpr double kShare = 0.15;
+  static constexpr double kMostRetries = 40;
+  static constexpr double kKeptForRetries = 20;
+
+  bool SpendAbove(double rest) {
+    if (this->retries < rest + 1)
       return false;
     this->retries -= 1;
     return true;
   }
 
- private:
-  static constexpr double kShare = 0.15;
-  static constexpr double kMostRetries = 20;
-
   double retries = kMostRetries;
 };
 
--- a/src/librouting/router.cc
+++ b/src/librouting/router.cc
@@ -15,6 +15,7 @@
 // Load of a zone's endpoints up to which requests stay in the zone.
 constexpr double kZoneLoadLimit = 1.0;
 constexpr int kHedgeTailMultiple = 2;
+constexpr double kHedgeLoadLimit = 1.3;
 // Lists longer than this are sampled, down to this many usable endpoints.
 constexpr std::size_t kSampledAbove = 24;
 constexpr std::size_t kSample = 6;
@@ -168,18 +169,41 @@
   const EndpointRecord* endpoint = this->Choose(open, now);
   if (endpoint == nullptr)
     return false;
+  this->StartAttemptAt(open, *endpoint, now);
+  return true;
+}
+
+// A hedge only helps where it need not wait long: on busy endpoints it would
+// take the place of another request.
+void Router::Hedge(OpenRequest& open, TimePoint now) {
+  if (!this->MayRetry(open, now))
+    return;
+  const EndpointRecord* endpoint = this->Choose(open, now);
+  const bool worth_it =
+      endpoint != nullptr &&
+      this->scores.Load(*endpoint, open.request.service) < kHedgeLoadLimit &&
+      this->budget.SpendForHedge();
+  if (!worth_it)
+    return;
+  this->StartAttemptAt(open, *endpoint, now);
+  this->hedge_count += 1;
+}
+
+void Router::StartAttemptAt(OpenRequest& open,
+                            const EndpointRecord& endpoint,
+                            TimePoint now) {
   const Milliseconds remaining = RemainingTime(now, open.request.deadline);
   OpenAttempt attempt;
   attempt.key = {.entry = this->options.entry,
                  .entry_incarnation = this->options.incarnation,
                  .counter = this->next_counter++};
-  attempt.endpoint = endpoint->id;
-  attempt.link = endpoint->link;
-  attempt.endpoint_incarnation = endpoint->incarnation;
+  attempt.endpoint = endpoint.id;
+  attempt.link = endpoint.link;
+  attempt.endpoint_incarnation = endpoint.incarnation;
   attempt.sent = now;
   attempt.check_deadline =
       now + std::min(this->options.acknowledge, remaining / 2);
-  this->scores.OnSent(endpoint->id);
+  this->scores.OnSent(endpoint.id);
   this->request_of_attempt[attempt.key.counter] = open.request.id;
   this->effects.emplace_back(
       SendAttempt{.request = open.request.id,
@@ -195,7 +219,6 @@
     open.hedge_deadline = now + kHedgeTailMultiple * tail;
   open.attempts.push_back(std::move(attempt));
   this->ScheduleCheck(open);
-  return true;
 }
 
 // Two random candidates, of which the cheaper one is taken: that keeps load
@@ -284,9 +307,7 @@
     this->CheckAttempt(open, open.attempts[i], now);
   if (now >= open.hedge_deadline) {
     open.hedge_deadline = kNever;
-    if (this->MayRetry(open, now) && this->budget.Spend() &&
-        this->StartAttempt(open, now))
-      this->hedge_count += 1;
+    this->Hedge(open, now);
   }
   this->ScheduleCheck(open);
 }
@@ -338,8 +359,11 @@
       });
   const bool allowed = !in_doubt || open.request.repeatable ||
                        this->options.mutations.retry_in_doubt;
-  const bool retry = allowed && this->MayRetry(open, now) &&
-                     (!this->options.use_retry_budget || this->budget.Spend());
+  // A refusal costs the endpoints next to nothing, so trying another one is
+  // only limited in number; what may have run counts against the budget.
+  const bool free = !in_doubt || !this->options.use_retry_budget;
+  const bool retry =
+      allowed && this->MayRetry(open, now) && (free || this->budget.Spend());
   if (retry && this->StartAttempt(open, now)) {
     this->retry_count += 1;
     return;
--- a/src/librouting/router.h
+++ b/src/librouting/router.h
@@ -166,6 +166,10 @@
 
   void BeginAttempts(OpenRequest& open, TimePoint now);
   bool StartAttempt(OpenRequest& open, TimePoint now);
+  void StartAttemptAt(OpenRequest& open,
+                      const EndpointRecord& endpoint,
+                      TimePoint now);
+  void Hedge(OpenRequest& open, TimePoint now);
   const EndpointRecord* Choose(const OpenRequest& open, TimePoint now);
   std::vector<const EndpointRecord*> Usable(
       const OpenRequest& open,
