Stop a storm of refusals; log every event of the catalogue

Cause: in a schedule with a disk that keeps its identity each refused append was answered at once by another, and every heartbeat began a further such chain: one mutation ran for over 100 s. Eight events of the catalogue were never logged.

--- a/src/libbase/events.cc
+++ b/src/libbase/events.cc
@@ -45,7 +45,7 @@
     EventInfo{kEndpointAppeared, "endpoint-appeared", kInfo,
               "an endpoint announced itself"},
     EventInfo{kEndpointLeft, "endpoint-left", kInfo,
-              "an endpoint is leaving or fell silent"},
+              "an endpoint announced that it leaves"},
     EventInfo{kEndpointEjected, "endpoint-ejected", kWarning,
               "an endpoint failed repeatedly and is avoided for a while"},
     EventInfo{kEstateApplied, "estate-applied", kInfo,
--- a/src/libcontrol/control_core.cc
+++ b/src/libcontrol/control_core.cc
@@ -190,14 +190,36 @@
   const std::uint64_t after = this->control_state.estate().revision();
   if (after != before)
     this->Note(Event::kEstateApplied, "revision " + std::to_string(after));
-  if (command.has_lose_worker() && result.code == ResultCode::kOk)
+  if (result.code == ResultCode::kOk)
+    this->NoteCommand(command);
+}
+
+void ControlCore::NoteCommand(const wire::Command& command) {
+  if (command.has_lose_worker())
     this->Note(Event::kWorkerLost, command.lose_worker().worker());
   if (command.has_register_worker()) {
     this->Note(Event::kWorkerRegistered,
                command.register_worker().description().id());
   }
-  if (command.has_park_task() && result.code == ResultCode::kOk)
+  if (command.has_park_task())
     this->Note(Event::kTaskParked, command.park_task().task());
+  if (command.stop_tasks().cause() == wire::STOP_CAUSE_EVICTED) {
+    for (const std::string& task : command.stop_tasks().tasks())
+      this->Note(Event::kTaskEvicted, task + ": " + command.stop_tasks().why());
+  }
+  if (!command.has_report_tasks())
+    return;
+  for (const wire::TaskReport& report : command.report_tasks().reports()) {
+    if (report.state() != wire::TASK_RUNNING) {
+      this->Note(Event::kTaskEnded,
+                 report.task() + " epoch " + std::to_string(report.epoch()) +
+                     " " + wire::TaskRunState_Name(report.state()));
+    }
+  }
+  const std::string& id = command.report_tasks().worker();
+  const WorkerState* worker = this->control_state.FindWorker(id);
+  if (worker != nullptr && worker->record.quarantined())
+    this->Note(Event::kWorkerQuarantined, id);
 }
 
 void ControlCore::Restore(const wire::Snapshot& snapshot) {
--- a/src/libcontrol/control_core.h
+++ b/src/libcontrol/control_core.h
@@ -93,6 +93,7 @@
   void FollowLeadership();
   void ApplyCommitted(const wire::LogEntry& entry);
   void ApplyCommand(const wire::LogEntry& entry, ApplyResult& result);
+  void NoteCommand(const wire::Command& command);
   void Restore(const wire::Snapshot& snapshot);
   void Propose(const std::vector<wire::Command>& commands);
   void CompactIfLong();
--- a/src/libreplication/replica.cc
+++ b/src/libreplication/replica.cc
@@ -15,22 +15,6 @@
 
 }  // namespace
 
-MemberId ToMemberId(const wire::Member& member) {
-  return {.id = member.id(), .incarnation = member.incarnation()};
-}
-
-void FillMember(const MemberId& id, wire::Member* member) {
-  member->set_id(id.id);
-  member->set_incarnation(id.incarnation);
-}
-
-wire::Membership ToMembership(const std::vector<MemberId>& voters) {
-  wire::Membership membership;
-  for (const MemberId& voter : voters)
-    FillMember(voter, membership.add_voters());
-  return membership;
-}
-
 Replica::Replica(ReplicaOptions options, StoredReplica stored, TimePoint now)
     : options(std::move(options)),
       random(this->options.seed),
--- a/src/libreplication/replica.h
+++ b/src/libreplication/replica.h
@@ -12,23 +12,12 @@
 #include <string>
 #include <vector>
 
+#include "libreplication/member_id.h"
 #include "libreplication/replication.pb.h"
 #include "savoryring/time.h"
 
 namespace savoryring {
 
-/// A replica's id together with the incarnation of its disk.
-struct MemberId {
-  std::string id;
-  std::uint64_t incarnation = 0;
-
-  auto operator<=>(const MemberId& other) const = default;
-};
-
-MemberId ToMemberId(const wire::Member& member);
-void FillMember(const MemberId& id, wire::Member* member);
-wire::Membership ToMembership(const std::vector<MemberId>& voters);
-
 /// Mechanisms that a test may switch off to show that its proof needs them.
 struct ReplicaMutations {
   bool skip_vote_sync = false;          ///< Votes are not stored.
@@ -143,6 +132,7 @@
     TimePoint heard;            // when the peer last answered at all
     TimePoint confirmed;        // latest send time that the peer has echoed
     TimePoint resend_deadline;  // when unanswered records are sent again
+    TimePoint probe_deadline;   // until then further refusals are ignored
   };
 
   void ReceiveHello(const wire::ReplicaMessage& message, TimePoint now);
--- a/src/libreplication/replica_leader.cc
+++ b/src/libreplication/replica_leader.cc
@@ -97,6 +97,11 @@
   progress.confirmed =
       std::max(progress.confirmed, FromNanoseconds(reply.sent_ns()));
   if (!reply.accepted()) {
+    // Of several refusals of records in flight only the first is answered at
+    // once: a peer that refuses every time must not start a storm.
+    if (now < progress.probe_deadline)
+      return;
+    progress.probe_deadline = now + this->options.heartbeat / 2;
     progress.next = std::max(progress.match, reply.match_index()) + 1;
     progress.next = std::min(progress.next, this->last_index() + 1);
     this->SendAppend(progress, now);
--- a/src/librouting/router.cc
+++ b/src/librouting/router.cc
@@ -1,8 +1,6 @@
 #include "librouting/router.h"
 
 #include <algorithm>
-#include <array>
-#include <optional>
 #include <utility>
 
 namespace savoryring {
@@ -124,7 +122,7 @@
       this->TryElsewhere(*open, news.code, now);
       return;
     case wire::ATTEMPT_FAILED:
-      this->scores.OnFailure(attempt->endpoint, now);
+      this->NoteFailure(attempt->endpoint, now);
       attempt->phase = AttemptPhase::kDoubtful;
       this->TryElsewhere(*open, ResultCode::kEndpointFailed, now);
       return;
@@ -324,7 +322,7 @@
   const bool first = attempt.phase == AttemptPhase::kSent;
   attempt.phase = AttemptPhase::kBarring;
   attempt.check_deadline = now + this->options.acknowledge;
-  this->scores.OnFailure(attempt.endpoint, now);
+  this->NoteFailure(attempt.endpoint, now);
   if (!this->options.mutations.keep_silent_links)
     this->effects.emplace_back(ReplaceConnection{.link = attempt.link});
   this->effects.emplace_back(
@@ -439,6 +437,11 @@
   this->request_of_attempt.erase(attempt.key.counter);
 }
 
+void Router::NoteFailure(const std::string& endpoint, TimePoint now) {
+  if (this->scores.OnFailure(endpoint, now))
+    this->effects.emplace_back(EndpointEjected{.endpoint = endpoint});
+}
+
 bool Router::MayRetry(const OpenRequest& open, TimePoint now) const {
   return open.attempts.size() < kMostAttempts &&
          RemainingTime(now, open.request.deadline) > kLeastRemaining;
--- a/src/librouting/router.h
+++ b/src/librouting/router.h
@@ -93,6 +93,10 @@
   std::uint64_t request = 0;
   ResultCode code = ResultCode::kInternal;
 };
+/// The endpoint failed repeatedly and is avoided for a while.
+struct EndpointEjected {
+  std::string endpoint;
+};
 using RouterEffect = std::variant<SendAttempt,
                                   SendBar,
                                   ReplaceConnection,
@@ -100,7 +104,8 @@
                                   SettleClaim,
                                   PassAnswer,
                                   PassRecorded,
-                                  AnswerResult>;
+                                  AnswerResult,
+                                  EndpointEjected>;
 
 /// What an endpoint process says of an attempt.
 struct AttemptNews {
@@ -187,6 +192,7 @@
   void Close(std::uint64_t id, wire::ClaimState claim, RouterEffect answer);
   void ScheduleCheck(OpenRequest& open);
   void MarkEnded(const OpenAttempt& attempt);
+  void NoteFailure(const std::string& endpoint, TimePoint now);
   bool MayRetry(const OpenRequest& open, TimePoint now) const;
   OpenAttempt* FindAttempt(const AttemptKey& key, OpenRequest** open);
   std::uint64_t OldestOpen() const;
--- a/src/savoryringd/endpoint_duty.cc
+++ b/src/savoryringd/endpoint_duty.cc
@@ -458,8 +458,11 @@
         this->usage = used;
       if (!tasks) {
         this->process->metrics().Count("endpoint_worker_unreachable");
+        if (std::exchange(this->worker_answers, false))
+          LogEvent(Event::kWorkerUnreachable, {});
         return;
       }
+      this->worker_answers = true;
       const TimePoint heard = BootClock::now();
       this->runner.OnWorkerTasks(*tasks, now, heard);
       this->RunTaskEffects();
--- a/src/savoryringd/endpoint_duty.h
+++ b/src/savoryringd/endpoint_duty.h
@@ -83,6 +83,7 @@
   LatencyWindows latencies;  // of the local endpoint's services
   bool polling = false;
   bool had_lease = false;
+  bool worker_answers = true;
   TimePoint poll_deadline;
   TimePoint usage_deadline;
   TimePoint announce_deadline;
--- a/src/savoryringd/entry_duty.cc
+++ b/src/savoryringd/entry_duty.cc
@@ -1,5 +1,6 @@
 #include "savoryringd/entry_duty.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "libbase/checksum.h"
@@ -204,15 +205,29 @@
   if (!announcement.ParseFromString(message.envelope.body()))
     return;
   const std::string& sender = message.envelope.sender();
-  if (this->router.directory().Find(sender) == nullptr)
-    LogEvent(Event::kEndpointAppeared, {{"endpoint", sender}});
+  const std::size_t served_before = this->CountServed(sender, now);
   this->router.OnAnnouncement(sender, message.envelope.incarnation(),
                               announcement, now);
+  const std::size_t served = this->CountServed(sender, now);
+  if (served > served_before)
+    LogEvent(Event::kEndpointAppeared, {{"endpoint", sender}});
+  else if (served < served_before)
+    LogEvent(Event::kEndpointLeft, {{"endpoint", sender}});
   // The answer shows the endpoint process that its connection works, and
   // brings it a newer estate where there is one.
   this->estate.Answer(message.origin, message.envelope.revision());
 }
 
+std::size_t EntryDuty::CountServed(const std::string& endpoint,
+                                   TimePoint now) const {
+  const EndpointRecord* record = this->router.directory().Find(endpoint);
+  if (record == nullptr)
+    return 0;
+  return static_cast<std::size_t>(std::ranges::count_if(
+      record->services,
+      [&](const auto& item) { return record->Serves(item.first, now); }));
+}
+
 void EntryDuty::OnAttemptUpdate(const Received& message, TimePoint now) {
   wire::AttemptUpdate update;
   if (!update.ParseFromString(message.envelope.body()))
@@ -284,15 +299,24 @@
       response.headers = UnpackHeaders(this->current_claim);
       response.body = this->current_claim.body();
       this->Answer(recorded->request, std::move(response));
+    } else if (const auto* result = std::get_if<AnswerResult>(&effect)) {
+      this->Answer(result->request, MakeResultResponse(result->code, ""));
     } else {
-      const auto& result = std::get<AnswerResult>(effect);
-      this->Answer(result.request, MakeResultResponse(result.code, ""));
+      const auto& ejected = std::get<EndpointEjected>(effect);
+      LogEvent(Event::kEndpointEjected, {{"endpoint", ejected.endpoint}});
     }
   }
 }
 
 void EntryDuty::Send(const SendAttempt& effect, TimePoint now) {
-  const OpenCall& call = *this->calls.at(effect.request);
+  OpenCall& call = *this->calls.at(effect.request);
+  call.attempts += 1;
+  if (call.attempts > 1) {
+    LogEvent(Event::kAttemptRetried,
+             {{"service", call.routed.service},
+              {"attempt", std::to_string(call.attempts)},
+              {"trace", call.span.context.trace_id}});
+  }
   wire::Attempt attempt;
   FillAttemptId(effect.key, attempt.mutable_id());
   attempt.set_oldest_open(effect.oldest_open);
@@ -390,7 +414,12 @@
   response.headers.push_back(
       {.name = "traceparent", .value = call.span.context.Traceparent()});
   const std::string not_run = response.Header("Savoryring-Not-Run");
-  if (!not_run.empty()) {
+  if (not_run.empty()) {
+    LogEvent(Event::kRequestAnswered,
+             {{"service", call.routed.service},
+              {"status", std::to_string(response.status)},
+              {"trace", call.span.context.trace_id}});
+  } else {
     const Event event =
         not_run == "true" ? Event::kRequestRefused : Event::kOutcomeUnknown;
     LogEvent(event, {{"service", call.routed.service},
--- a/src/savoryringd/entry_duty.h
+++ b/src/savoryringd/entry_duty.h
@@ -40,6 +40,7 @@
     std::string path;  // below the service
     Span span;
     TimePoint answer_deadline;
+    int attempts = 0;
     AttemptKey holder;  // names this request in its claim
     std::promise<HttpResponse> answer;
   };
@@ -55,6 +56,8 @@
   void Begin(std::unique_ptr<OpenCall> call);
 
   void OnAnnouncement(const Received& message, TimePoint now);
+  /// Services that the endpoint is known to serve at `now`.
+  std::size_t CountServed(const std::string& endpoint, TimePoint now) const;
   void OnAttemptUpdate(const Received& message, TimePoint now);
   void RunRouterEffects(TimePoint now);
   void Send(const SendAttempt& effect, TimePoint now);
--- a/testsuite/schedule/entry_node.cc
+++ b/testsuite/schedule/entry_node.cc
@@ -179,9 +179,8 @@
       this->Answer(pass->request, true, false, this->current_answered);
     } else if (const auto* recorded = std::get_if<PassRecorded>(&effect)) {
       this->Answer(recorded->request, true, false, this->recorded_request);
-    } else {
-      const auto& result = std::get<AnswerResult>(effect);
-      this->Answer(result.request, false, InfoOf(result.code).not_run, 0);
+    } else if (const auto* result = std::get_if<AnswerResult>(&effect)) {
+      this->Answer(result->request, false, InfoOf(result->code).not_run, 0);
     }
   }
 }
