--- a/src/cmake/savoryring_package.cmake
+++ b/src/cmake/savoryring_package.cmake
@@ -6,7 +6,7 @@
   target_include_directories(savoryring_${name} PUBLIC
     ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR}/src/include)
   target_link_libraries(savoryring_${name} PUBLIC ${ARG_LINKS})
-  if(ARG_TESTS)
+  if(ARG_TESTS AND SAVORYRING_TESTS)
     add_executable(${name}_test ${ARG_TESTS}
       ${PROJECT_SOURCE_DIR}/src/libbase/test_main.cc)
     target_link_libraries(${name}_test PRIVATE
--- a/src/include/savoryring/estate.h
+++ b/src/include/savoryring/estate.h
@@ -46,6 +46,19 @@
   std::vector<std::string> depends_on;
 };
 
+/// Where callers hand in jobs of one kind.
+struct QueueSpec {
+  std::string name;
+  std::string host;
+  std::string prefix;          ///< Of the path; the job's id follows it.
+  std::string service;         ///< Whose workers run the tasks.
+  std::uint32_t priority = 0;  ///< 0 comes first.
+  std::uint32_t attempts = 1;  ///< Failed runs of a task that fail the job.
+  double slack = 1.0;          ///< Wanted time over the longest chain of work.
+  Milliseconds latency_target{0};  ///< Added to that.
+  Milliseconds timeout{kDefaultServiceTimeout};
+};
+
 struct TeamSpec {
   std::string name;
   Resources quota;
@@ -64,6 +77,7 @@
   std::vector<WorkSpec> task_classes;
   std::vector<WorkSpec> monitors;
   std::vector<TeamSpec> teams;
+  std::vector<QueueSpec> queues;
   Weights weights;
 };
 
--- a/src/include/savoryring/result.h
+++ b/src/include/savoryring/result.h
@@ -55,6 +55,10 @@
   kUnknownTeam = 306,
   kUnknownWorker = 307,
   kNothingToDecide = 308,
+  kUnknownJob = 309,
+  kUnknownQueue = 310,
+  kNoEstate = 311,
+  kMalformedJob = 312,
   // 4xx: stored state.
   kDamagedLog = 400,
   kDiskFailed = 401,
--- a/src/include/savoryring/settings.h
+++ b/src/include/savoryring/settings.h
@@ -29,6 +29,23 @@
   std::string link;
 };
 
+/// How controls are found where nobody lists them all.
+struct DiscoverySettings {
+  std::vector<std::string> seeds;  ///< HTTP addresses of some controls.
+  std::uint16_t control_port = 0;  ///< Link port, the same on every control.
+  bool bootstrap =
+      false;  ///< Whether the whole system starts for the first time.
+};
+
+/// Addresses where the platform and its callers reach this process, and where
+/// this process reaches the platform; empty where they do not.
+struct PlatformSettings {
+  std::string callers;  ///< Job calls.
+  std::string ready;    ///< The balancer's question.
+  std::string control;  ///< Operators, or the worker beside an agent.
+  std::string worker;   ///< The worker beside an agent.
+};
+
 struct TimingSettings {
   Milliseconds heartbeat{500};  ///< Endpoint process to control and entries.
   Milliseconds worker_lease{3000};
@@ -37,6 +54,8 @@
   Milliseconds drain{10000};          ///< Longest wait of a graceful shutdown.
   Milliseconds balancer_notice{500};  ///< Listener stays open this long.
   Milliseconds acknowledge{150};      ///< Wait before a connection is replaced.
+  Milliseconds agent_lease{6000};     ///< A worker runs on without its leader.
+  Milliseconds worker_hold{4000};     ///< A worker runs on without its agent.
 };
 
 struct LimitSettings {
@@ -58,6 +77,10 @@
   std::optional<DutyAddress> entry;
   std::optional<DutyAddress> control;
   std::optional<EndpointSettings> endpoint;
+  std::string gateway_link;  ///< Set where the process takes job calls.
+  std::string agent_link;    ///< Set where the process runs jobs' tasks.
+  std::optional<DiscoverySettings> discovery;
+  std::optional<PlatformSettings> platform;
   std::vector<std::string> entries;
   std::vector<ControlPeer> controls;
   TimingSettings timing;
@@ -70,6 +93,9 @@
 /// Throws Error with every problem found.
 Settings ParseSettings(std::string_view text);
 
+/// Links of the controls that the settings name: listed ones or seeds.
+std::vector<std::string> ControlLinksOf(const Settings& settings);
+
 /// Reads a whole file. Throws Error (kUnreadableFile).
 std::string ReadFile(const std::string& path);
 
--- a/src/libbase/events.h
+++ b/src/libbase/events.h
@@ -18,8 +18,13 @@
   kStopped = 1002,
   kDraining = 1003,
   kStartFailed = 1004,
+  kSettingsReloaded = 1005,
+  kSettingsRefused = 1006,
   kForeignMessage = 1101,
   kConnectionReplaced = 1102,
+  kLeaderFound = 1103,
+  kLeaderSilent = 1104,
+  kMalformedInput = 1105,
   kRequestAnswered = 1201,
   kRequestRefused = 1202,
   kOutcomeUnknown = 1203,
@@ -46,6 +51,14 @@
   kTaskEvicted = 1704,
   kLeaseEnded = 1705,
   kWorkerUnreachable = 1706,
+  kJobAccepted = 1801,
+  kJobEnded = 1802,
+  kJobRunStarted = 1803,
+  kJobRunEnded = 1804,
+  kJobWorkerLost = 1805,
+  kJobRunMoved = 1806,
+  kJobWorkerSuspended = 1807,
+  kJobRunPaced = 1808,
 };
 
 struct EventInfo {
--- a/src/libbase/settings.cc
+++ b/src/libbase/settings.cc
@@ -33,9 +33,45 @@
   return text;
 }
 
-DutyAddress ParseDuty(const ObjectView& view) {
+// With a platform in front of it, a duty may need no HTTP of its own.
+DutyAddress ParseDuty(const ObjectView& view, bool needs_http) {
   view.AllowKeys({"http", "link"});
-  return {.http = Address(view, "http"), .link = Address(view, "link")};
+  DutyAddress address{.link = Address(view, "link")};
+  if (needs_http || view.Has("http"))
+    address.http = Address(view, "http");
+  return address;
+}
+
+std::string ParseLink(const ObjectView& view) {
+  view.AllowKeys({"link"});
+  return Address(view, "link");
+}
+
+DiscoverySettings ParseDiscovery(const ObjectView& view) {
+  view.AllowKeys({"seeds", "control_port", "bootstrap"});
+  DiscoverySettings discovery;
+  discovery.seeds = view.Strings("seeds");
+  for (const std::string& seed : discovery.seeds) {
+    if (!IsAddress(seed))
+      view.Report(ResultCode::kOutOfRange, "seeds", "expected IP:PORT");
+  }
+  if (discovery.seeds.empty())
+    view.Report(ResultCode::kMissingKey, "seeds", "name at least one seed");
+  discovery.control_port = static_cast<std::uint16_t>(
+      view.Integer("control_port", 0, {.least = 1, .most = UINT16_MAX}));
+  discovery.bootstrap = view.Boolean("bootstrap", false);
+  return discovery;
+}
+
+PlatformSettings ParsePlatform(const ObjectView& view) {
+  view.AllowKeys({"callers", "ready", "control", "worker"});
+  const auto optional_address = [&view](std::string_view key) {
+    return view.Has(key) ? Address(view, key) : std::string();
+  };
+  return {.callers = optional_address("callers"),
+          .ready = optional_address("ready"),
+          .control = optional_address("control"),
+          .worker = optional_address("worker")};
 }
 
 EndpointSettings ParseEndpoint(const ObjectView& view) {
@@ -50,7 +86,7 @@
 TimingSettings ParseTiming(const ObjectView& view) {
   view.AllowKeys({"heartbeat_ms", "worker_lease_ms", "election_ms",
                   "replica_heartbeat_ms", "drain_ms", "balancer_notice_ms",
-                  "acknowledge_ms"});
+                  "acknowledge_ms", "agent_lease_ms", "worker_hold_ms"});
   TimingSettings timing;
   timing.heartbeat = view.Time("heartbeat_ms", timing.heartbeat);
   timing.worker_lease = view.Time("worker_lease_ms", timing.worker_lease);
@@ -61,6 +97,8 @@
   timing.balancer_notice =
       view.Time("balancer_notice_ms", timing.balancer_notice);
   timing.acknowledge = view.Time("acknowledge_ms", timing.acknowledge);
+  timing.agent_lease = view.Time("agent_lease_ms", timing.agent_lease);
+  timing.worker_hold = view.Time("worker_hold_ms", timing.worker_hold);
   if (timing.worker_lease < 3 * timing.heartbeat) {
     view.Report(ResultCode::kOutOfRange, "worker_lease_ms",
                 "must be at least three times heartbeat_ms");
@@ -105,15 +143,21 @@
     view.Report(ResultCode::kMissingKey, "duties", "name at least one duty");
   for (const std::string& duty : duties) {
     if (duty == "entry") {
-      settings.entry = ParseDuty(view.Object("entry"));
+      settings.entry = ParseDuty(view.Object("entry"), true);
     } else if (duty == "control") {
-      settings.control = ParseDuty(view.Object("control"));
+      settings.control =
+          ParseDuty(view.Object("control"), !view.Has("platform"));
     } else if (duty == "endpoint") {
       settings.endpoint = ParseEndpoint(view.Object("endpoint"));
+    } else if (duty == "gateway") {
+      settings.gateway_link = ParseLink(view.Object("gateway"));
+    } else if (duty == "agent") {
+      settings.agent_link = ParseLink(view.Object("agent"));
     } else {
-      view.Report(
-          ResultCode::kOutOfRange, "duties",
-          "unknown duty " + duty + "; known are entry, control and endpoint");
+      view.Report(ResultCode::kOutOfRange, "duties",
+                  "unknown duty " + duty +
+                      "; known are entry, control, endpoint, gateway and "
+                      "agent");
     }
   }
 }
@@ -130,6 +174,8 @@
         {.id = peer.String("id", true), .link = Address(peer, "link")});
   }
   const std::size_t count = settings.controls.size();
+  if (settings.discovery && count == 0)
+    return;
   if (count != 1 && count != 3 && count != 5)
     view.Report(ResultCode::kOutOfRange, "controls", "list 1, 3 or 5 replicas");
 }
@@ -139,6 +185,8 @@
     return;
   if (settings.data_folder.empty())
     view.Report(ResultCode::kMissingKey, "data_folder", "needed by control");
+  if (settings.discovery)
+    return;
   if (std::ranges::find(settings.controls, settings.id, &ControlPeer::id) ==
       settings.controls.end()) {
     view.Report(ResultCode::kDanglingDependency, "controls",
@@ -154,7 +202,8 @@
   const ObjectView view(document, "", problems);
   view.AllowKeys({"id", "availability_zone", "rack", "duties", "data_folder",
                   "entry", "control", "endpoint", "entries", "controls",
-                  "timing", "limits", "log", "trace_file"});
+                  "timing", "limits", "log", "trace_file", "gateway", "agent",
+                  "discovery", "platform"});
   Settings settings;
   settings.id = view.String("id", true);
   settings.availability_zone = view.String("availability_zone", true);
@@ -162,6 +211,10 @@
   settings.data_folder = view.String("data_folder", false);
   settings.trace_file = view.String("trace_file", false);
   ParseDuties(view, settings);
+  if (view.Has("discovery"))
+    settings.discovery = ParseDiscovery(view.Object("discovery"));
+  if (view.Has("platform"))
+    settings.platform = ParsePlatform(view.Object("platform"));
   ParsePeers(view, settings);
   settings.timing = ParseTiming(view.Object("timing"));
   settings.limits = ParseLimits(view.Object("limits"));
@@ -171,6 +224,18 @@
   return settings;
 }
 
+std::vector<std::string> ControlLinksOf(const Settings& settings) {
+  std::vector<std::string> links;
+  for (const ControlPeer& peer : settings.controls)
+    links.push_back(peer.link);
+  if (!settings.discovery)
+    return links;
+  const std::string port = std::to_string(settings.discovery->control_port);
+  for (const std::string& seed : settings.discovery->seeds)
+    links.push_back(seed.substr(0, seed.rfind(':') + 1) + port);
+  return links;
+}
+
 std::string ReadFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   if (!file)
--- a/src/libcontrol/control_api.cc
+++ b/src/libcontrol/control_api.cc
@@ -28,6 +28,16 @@
   return value.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
 }
 
+// The document that the operator sent, byte for byte.
+wire::ControlReply SourceReply(const EstateState& estate) {
+  if (estate.source().empty())
+    throw Error(ResultCode::kNoEstate, "");
+  wire::ControlReply reply;
+  reply.set_status(200);
+  reply.set_body(estate.source());
+  return reply;
+}
+
 wire::ControlReply JsonReply(int status, const json& value) {
   wire::ControlReply reply;
   reply.set_status(static_cast<std::uint32_t>(status));
@@ -41,7 +51,7 @@
   const json document = ParseJson(body);
   ProblemList problems;
   const ObjectView view(document, "", problems);
-  view.AllowKeys({"version", "request_id", "estate"});
+  view.AllowKeys({"version", "request_id", "estate", "mode", "source"});
   wire::Command command;
   wire::SubmitEstate* submit = command.mutable_submit_estate();
   submit->set_version(
@@ -52,6 +62,11 @@
   if (!view.Has("estate"))
     view.Report(ResultCode::kMissingKey, "estate", "required key is missing");
   problems.ThrowIfAny();
+  const std::string mode = view.String("mode", false);
+  if (!mode.empty() && mode != "next" && mode != "highest")
+    throw Error(ResultCode::kOutOfRange, "mode must be next or highest");
+  submit->set_highest_wins(mode == "highest");
+  submit->set_source(view.String("source", false));
   submit->set_text(document["estate"].dump());
   ParseEstate(submit->text());
   return command;
@@ -284,6 +299,8 @@
   const std::string first = path.empty() ? "" : path[0];
   if (first == "estate" && path.size() == 1)
     return JsonReply(200, EstateToJson(view.state.estate()));
+  if (first == "estate" && path.size() == 2 && path[1] == "source")
+    return SourceReply(view.state.estate());
   if (first == "estate" && path.size() == 2 && path[1] == "in-force")
     return JsonReply(200, InForceToJson(view));
   if (first == "status" && path.size() == 1)
@@ -301,6 +318,12 @@
                                  const ApplyResult& result) {
   if (result.code != ResultCode::kOk)
     return MakeErrorReply(result.code, result.task);
+  if (call.method() == "JOB") {
+    wire::ControlReply reply;
+    reply.set_status(200);
+    reply.set_body("{}");
+    return reply;
+  }
   if (call.method() == "CLAIM" || call.method() == "SETTLE") {
     wire::ControlReply reply;
     reply.set_status(200);
--- a/src/libcontrol/control_core.cc
+++ b/src/libcontrol/control_core.cc
@@ -62,7 +62,17 @@
     this->effects.emplace_back(std::move(refusal));
     return;
   }
+  if (call.method() == "PING") {
+    ReplyToCall answer{.ticket = ticket};
+    answer.reply.set_status(200);
+    this->effects.emplace_back(std::move(answer));
+    return;
+  }
   try {
+    if (call.method() == "JOB") {
+      this->OnJobCall(call, ticket, now);
+      return;
+    }
     const ControlView view = this->View(now);
     const auto command = ReadCommand(call, view);
     if (!command) {
@@ -82,6 +92,123 @@
   }
 }
 
+// --- Jobs ---
+
+void ControlCore::OnJobCall(const wire::ControlCall& call,
+                            std::uint64_t ticket,
+                            TimePoint now) {
+  wire::JobCall job_call;
+  if (!job_call.ParseFromString(call.body()))
+    throw Error(ResultCode::kDamagedMessage, "job call");
+  const EstateState& estate = this->control_state.estate();
+  if (estate.revision() == 0)
+    throw Error(ResultCode::kNoEstate, "");
+  auto outcome =
+      ReadJobCall(job_call, estate.estate(), this->control_state.jobs());
+  if (const auto* answer = std::get_if<JobAnswer>(&outcome)) {
+    ReplyToCall effect{.ticket = ticket};
+    effect.reply.set_status(static_cast<std::uint32_t>(answer->status));
+    effect.reply.set_body(answer->body);
+    this->effects.emplace_back(std::move(effect));
+    return;
+  }
+  wire::Command command;
+  *command.mutable_job_command() =
+      std::get<wire::JobCommand>(std::move(outcome));
+  command.mutable_job_command()->set_group_time_ms(this->GroupTime(now));
+  const auto index = this->log_replica.Propose(command.SerializeAsString());
+  this->pending_calls[*index] = {
+      .call = call, .term = this->log_replica.term(), .ticket = ticket};
+}
+
+void ControlCore::OnAgentReport(const wire::AgentReport& report,
+                                TimePoint now) {
+  const std::string& agent = report.worker().agent();
+  this->FollowLeadership();
+  if (!this->Serves(now)) {
+    SendAgentOrders refusal{.agent = agent};
+    refusal.orders.set_leader_link(this->LeaderLink());
+    this->effects.emplace_back(std::move(refusal));
+    return;
+  }
+  this->reporting_agents.insert(agent);
+  if (auto command = this->job_scheduler->OnReport(this->control_state.jobs(),
+                                                   report, now))
+    this->ProposeJobs(std::move(*command), now);
+  this->AddAgentOrders(agent, now);
+}
+
+void ControlCore::AddAgentOrders(const std::string& agent, TimePoint now) {
+  SendAgentOrders effect{.agent = agent};
+  effect.orders =
+      this->job_scheduler->OrdersFor(this->control_state.jobs(), agent, now);
+  effect.orders.set_term(this->log_replica.term());
+  this->effects.emplace_back(std::move(effect));
+}
+
+std::uint64_t ControlCore::GroupTime(TimePoint now) const {
+  const auto led = RemainingTime(this->log_replica.led_since(), now);
+  return this->group_time_base + static_cast<std::uint64_t>(led.count());
+}
+
+void ControlCore::ProposeJobs(wire::JobCommand command, TimePoint now) {
+  wire::Command entry;
+  command.set_group_time_ms(this->GroupTime(now));
+  *entry.mutable_job_command() = std::move(command);
+  this->log_replica.Propose(entry.SerializeAsString());
+}
+
+// One decision at a time: the next one sees what became of the last.
+void ControlCore::DecideJobs(TimePoint now) {
+  if (!this->Serves(now) || this->applied < this->job_decision_index)
+    return;
+  auto command = this->job_scheduler->Decide(this->control_state.jobs(),
+                                             this->wall_ms, now);
+  for (const MovedRun& run : this->job_scheduler->TakeMoved())
+    this->Note(Event::kJobRunMoved,
+               run.task + " " + run.agent + ": " + run.why);
+  if (!command)
+    return;
+  this->ProposeJobs(std::move(*command), now);
+  this->job_decision_index = this->log_replica.last_index();
+}
+
+void ControlCore::FollowJobEvents(TimePoint now) {
+  for (const JobEvent& event :
+       this->control_state.mutable_jobs().TakeEvents()) {
+    const bool leads = this->job_scheduler && this->Serves(now);
+    if (!leads)
+      continue;
+    this->job_scheduler->OnEvent(event, now);
+    this->NoteJobEvent(event);
+  }
+  if (!this->job_scheduler)
+    return;
+  for (const std::string& agent : this->job_scheduler->TakeSuspended())
+    this->Note(Event::kJobWorkerSuspended, agent);
+}
+
+void ControlCore::NoteJobEvent(const JobEvent& event) {
+  switch (event.kind) {
+    case JobEvent::Kind::kAccepted:
+      return this->Note(Event::kJobAccepted, event.job);
+    case JobEvent::Kind::kJobEnded:
+    case JobEvent::Kind::kCancelled:
+      return this->Note(Event::kJobEnded, event.job + " " + event.why);
+    case JobEvent::Kind::kStarted:
+      return this->Note(Event::kJobRunStarted, event.task + " run " +
+                                                   std::to_string(event.run) +
+                                                   " on " + event.agent);
+    case JobEvent::Kind::kEnded:
+      return this->Note(Event::kJobRunEnded,
+                        event.task + " run " + std::to_string(event.run) +
+                            " on " + event.agent + " " +
+                            wire::RunEnd_Name(event.how) + " " + event.why);
+    case JobEvent::Kind::kLost:
+      return this->Note(Event::kJobWorkerLost, event.agent + " " + event.why);
+  }
+}
+
 void ControlCore::OnProcess(const std::string& name,
                             std::uint64_t revision,
                             TimePoint now) {
@@ -89,9 +216,11 @@
                            .valid_until = now + kProcessValid};
 }
 
-void ControlCore::OnTick(TimePoint now) {
+void ControlCore::OnTick(TimePoint now, std::int64_t wall_ms) {
+  this->wall_ms = wall_ms;
   this->log_replica.Tick(now);
   this->FollowLeadership();
+  this->DecideJobs(now);
   const bool decide = this->Serves(now) && now >= this->decide_deadline &&
                       this->applied >= this->decision_index;
   if (!decide)
@@ -111,9 +240,10 @@
                "term " + std::to_string(this->scheduled_term));
     // What became of these entries, the next leader knows.
     for (const auto& [index, pending] : this->pending_calls) {
-      this->effects.emplace_back(
-          ReplyToCall{.ticket = pending.ticket,
-                      .reply = MakeErrorReply(ResultCode::kNoLeader, "")});
+      ReplyToCall refusal{.ticket = pending.ticket,
+                          .reply = MakeErrorReply(ResultCode::kNoLeader, "")};
+      refusal.reply.set_proposed(true);
+      this->effects.emplace_back(std::move(refusal));
     }
     this->pending_calls.clear();
   }
@@ -123,9 +253,17 @@
     this->orders_sent.clear();
     this->scheduler.emplace(this->options.scheduler,
                             this->log_replica.led_since());
+    this->job_scheduler.reset();
+    this->reporting_agents.clear();
     this->Note(Event::kBecameLeader, "term " + std::to_string(term));
   }
   this->was_leader = leads;
+  if (leads && !this->job_scheduler && this->log_replica.IsCaughtUp()) {
+    this->job_scheduler.emplace(this->options.jobs, this->control_state.jobs(),
+                                this->log_replica.led_since());
+    this->group_time_base = this->control_state.jobs().group_time_ms();
+    this->job_decision_index = 0;
+  }
 }
 
 ReplicaOutput ControlCore::TakeOutput(TimePoint now) {
@@ -140,8 +278,12 @@
   for (const wire::LogEntry& entry : output.committed)
     this->ApplyCommitted(entry);
   this->settled = !output.NeedsStore() && output.committed.empty();
-  if (!output.committed.empty())
-    this->CompactIfLong();
+  if (output.committed.empty())
+    return;
+  this->FollowLeadership();
+  this->FollowJobEvents(now);
+  this->DecideJobs(now);
+  this->CompactIfLong();
 }
 
 std::vector<ControlEffect> ControlCore::TakeEffects(TimePoint now) {
@@ -152,6 +294,13 @@
         this->AddOrders(worker, 0, false);
     }
   }
+  const auto agents = this->control_state.mutable_jobs().TakeChangedAgents();
+  if (this->Serves(now)) {
+    for (const std::string& agent : agents) {
+      if (this->reporting_agents.contains(agent))
+        this->AddAgentOrders(agent, now);
+    }
+  }
   return std::exchange(this->effects, {});
 }
 
@@ -172,11 +321,14 @@
   if (found == this->pending_calls.end())
     return;
   const PendingCall& pending = found->second;
-  this->effects.emplace_back(
-      ReplyToCall{.ticket = pending.ticket,
-                  .reply = pending.term == entry.term()
-                               ? AnswerApplied(pending.call, result)
-                               : MakeErrorReply(ResultCode::kNoLeader, "")});
+  ReplyToCall answer{.ticket = pending.ticket};
+  if (pending.term == entry.term()) {
+    answer.reply = AnswerApplied(pending.call, result);
+  } else {
+    answer.reply = MakeErrorReply(ResultCode::kNoLeader, "");
+    answer.reply.set_proposed(true);
+  }
+  this->effects.emplace_back(std::move(answer));
   this->pending_calls.erase(found);
 }
 
@@ -269,7 +421,8 @@
 }
 
 bool ControlCore::Serves(TimePoint now) const {
-  return this->scheduler && this->log_replica.IsCaughtUp() &&
+  return this->scheduler && this->job_scheduler &&
+         this->log_replica.IsCaughtUp() &&
          this->scheduled_term == this->log_replica.term() &&
          this->log_replica.HasLease(now);
 }
@@ -282,7 +435,11 @@
 std::string ControlCore::LeaderLink() const {
   const auto found =
       this->options.replica_links.find(this->log_replica.leader_id());
-  return found == this->options.replica_links.end() ? "" : found->second;
+  if (found != this->options.replica_links.end())
+    return found->second;
+  // A replica that was found by itself is named by its link.
+  return this->options.replica.open_membership ? this->log_replica.leader_id()
+                                               : "";
 }
 
 void ControlCore::Note(Event event, const std::string& detail) {
--- a/src/libcontrol/control_core.h
+++ b/src/libcontrol/control_core.h
@@ -6,12 +6,15 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "libbase/events.h"
 #include "libcontrol/control_api.h"
+#include "libjobs/job_calls.h"
+#include "libjobs/job_scheduler.h"
 #include "libmembership/membership.pb.h"
 #include "libplacement/control_state.h"
 #include "libplacement/scheduler.h"
@@ -24,6 +27,7 @@
 struct ControlOptions {
   ReplicaOptions replica;
   SchedulerOptions scheduler;
+  JobSchedulerOptions jobs;
   std::uint64_t snapshot_after_entries = 4000;
   std::map<std::string, std::string> replica_links;  ///< By replica id.
   ControlMutations mutations;
@@ -34,6 +38,11 @@
   std::string worker;
   wire::WorkerOrders orders;
 };
+/// Orders for an agent, over the connection that its last report came by.
+struct SendAgentOrders {
+  std::string agent;
+  wire::AgentOrders orders;
+};
 /// The reply to the call that was given this ticket.
 struct ReplyToCall {
   std::uint64_t ticket = 0;
@@ -44,7 +53,8 @@
   Event event = Event::kStarted;
   std::string detail;
 };
-using ControlEffect = std::variant<SendOrders, ReplyToCall, NoteEvent>;
+using ControlEffect =
+    std::variant<SendOrders, SendAgentOrders, ReplyToCall, NoteEvent>;
 
 /// The shell's cycle: inputs, then TakeOutput; where it NeedsStore, store and
 /// sync it; then OnStored, which applies what was committed; then send the
@@ -61,11 +71,13 @@
   void OnCall(const wire::ControlCall& call,
               std::uint64_t ticket,
               TimePoint now);
+  void OnAgentReport(const wire::AgentReport& report, TimePoint now);
   /// A live process has shown which revision it has applied.
   void OnProcess(const std::string& name,
                  std::uint64_t revision,
                  TimePoint now);
-  void OnTick(TimePoint now);
+  /// `wall_ms` is the Unix time, for jobs that begin by time.
+  void OnTick(TimePoint now, std::int64_t wall_ms = 0);
 
   ReplicaOutput TakeOutput(TimePoint now);
   void OnStored(const ReplicaOutput& output, TimePoint now);
@@ -94,6 +106,15 @@
   void ApplyCommitted(const wire::LogEntry& entry);
   void ApplyCommand(const wire::LogEntry& entry, ApplyResult& result);
   void NoteCommand(const wire::Command& command);
+  void OnJobCall(const wire::ControlCall& call,
+                 std::uint64_t ticket,
+                 TimePoint now);
+  void ProposeJobs(wire::JobCommand command, TimePoint now);
+  void DecideJobs(TimePoint now);
+  void FollowJobEvents(TimePoint now);
+  void NoteJobEvent(const JobEvent& event);
+  void AddAgentOrders(const std::string& agent, TimePoint now);
+  std::uint64_t GroupTime(TimePoint now) const;
   void Restore(const wire::Snapshot& snapshot);
   void Propose(const std::vector<wire::Command>& commands);
   void CompactIfLong();
@@ -105,6 +126,11 @@
   Replica log_replica;
   ControlState control_state;
   std::optional<Scheduler> scheduler;
+  std::optional<JobScheduler> job_scheduler;
+  std::uint64_t job_decision_index = 0;
+  std::uint64_t group_time_base = 0;  // group time when this one began to lead
+  std::int64_t wall_ms = 0;
+  std::set<std::string> reporting_agents;
   std::uint64_t applied = 0;
   std::uint64_t scheduled_term = 0;
   std::uint64_t decision_index = 0;  // last entry that the scheduler proposed
--- a/src/libestate/estate.cc
+++ b/src/libestate/estate.cc
@@ -21,10 +21,11 @@
       : document(ParseJson(text)), root(this->document, "", this->problems) {}
 
   Estate Parse() {
-    this->root.AllowKeys(
-        {"services", "tasks", "task_classes", "monitors", "teams", "weights"});
+    this->root.AllowKeys({"services", "tasks", "task_classes", "monitors",
+                          "teams", "weights", "queues"});
     this->ParseTeams();
     this->ParseServices();
+    this->ParseQueues();
     this->estate.tasks = this->ParseWork("tasks", WorkKind::kTask);
     this->estate.task_classes =
         this->ParseWork("task_classes", WorkKind::kClass);
@@ -91,6 +92,36 @@
     }
   }
 
+  void ParseQueues() {
+    std::set<std::pair<std::string, std::string>> places;
+    for (const ObjectView& view : this->root.Objects("queues")) {
+      view.AllowKeys({"name", "host", "prefix", "service", "priority",
+                      "attempts", "slack", "latency_target_ms", "timeout_ms"});
+      QueueSpec queue;
+      queue.name = view.String("name", true);
+      queue.host = view.String("host", true);
+      queue.prefix = view.String("prefix", true);
+      queue.service = view.String("service", true);
+      queue.priority =
+          static_cast<std::uint32_t>(view.Integer("priority", 0, {}));
+      queue.attempts = static_cast<std::uint32_t>(
+          view.Integer("attempts", queue.attempts, {.least = 1}));
+      queue.slack = view.Number("slack", queue.slack);
+      queue.latency_target = Milliseconds(
+          static_cast<std::int64_t>(view.Integer("latency_target_ms", 0, {})));
+      queue.timeout = view.Time("timeout_ms", queue.timeout);
+      if (!places.emplace(queue.host, queue.prefix).second)
+        view.Report(ResultCode::kDuplicateName, "prefix", queue.prefix);
+      if (std::ranges::find(this->estate.services, queue.service,
+                            &ServiceSpec::name) ==
+          this->estate.services.end()) {
+        view.Report(ResultCode::kDanglingDependency, "service",
+                    "there is no service " + queue.service);
+      }
+      this->estate.queues.push_back(std::move(queue));
+    }
+  }
+
   std::vector<WorkSpec> ParseWork(std::string_view section, WorkKind kind) {
     std::vector<WorkSpec> work;
     for (const ObjectView& view : this->root.Objects(section))
@@ -268,6 +299,17 @@
                        team.quota.accelerators}
             .dump();
   }
+  for (const QueueSpec& queue : estate.queues) {
+    items["queue " + queue.name] = nlohmann::json{queue.host,
+                                                  queue.prefix,
+                                                  queue.service,
+                                                  queue.priority,
+                                                  queue.attempts,
+                                                  queue.slack,
+                                                  queue.latency_target.count(),
+                                                  queue.timeout.count()}
+                                       .dump();
+  }
   items["weights"] =
       nlohmann::json{estate.weights.tail_latency, estate.weights.throughput,
                      estate.weights.evictions}
--- a/src/libestate/estate_state.cc
+++ b/src/libestate/estate_state.cc
@@ -32,11 +32,14 @@
 }  // namespace
 
 ResultCode EstateState::Apply(const Submission& submission) {
+  if (submission.highest_wins && submission.version <= this->current_revision)
+    return ResultCode::kOk;
   const SectionTexts updated = CanonicalSections(submission.text);
   const std::uint64_t checksum = ChecksumOf(updated);
   if (submission.version <= this->current_revision)
     return this->JudgeOldVersion(submission.version, checksum);
-  if (submission.version != this->current_revision + 1)
+  if (!submission.highest_wins &&
+      submission.version != this->current_revision + 1)
     return ResultCode::kVersionNotNext;
   this->current = ParseEstate(submission.text);
   this->Replace(submission, updated);
@@ -56,6 +59,7 @@
                           const SectionTexts& updated) {
   this->current_revision = submission.version;
   this->current_text = submission.text;
+  this->current_source = submission.source;
   for (auto& [name, section] : this->sections) {
     if (updated.contains(name) || section.json() == EmptyOf(name))
       continue;
@@ -97,6 +101,7 @@
   wire::EstateSnapshot snapshot;
   snapshot.set_revision(this->current_revision);
   snapshot.set_text(this->current_text);
+  snapshot.set_source(this->current_source);
   for (const auto& [name, section] : this->sections)
     *snapshot.add_sections() = section;
   for (const auto& [version, checksum] : this->accepted_checksums) {
@@ -110,6 +115,7 @@
 void EstateState::Restore(const wire::EstateSnapshot& snapshot) {
   this->current_revision = snapshot.revision();
   this->current_text = snapshot.text();
+  this->current_source = snapshot.source();
   this->current = ParseEstate(this->current_text);
   this->sections.clear();
   for (const wire::EstateSection& section : snapshot.sections())
--- a/src/libestate/estate_state.h
+++ b/src/libestate/estate_state.h
@@ -17,6 +17,8 @@
   std::uint64_t version = 0;
   std::string request_id;
   std::string text;
+  bool highest_wins = false;  ///< Otherwise the next version only is taken.
+  std::string source;         ///< Document that the text was translated from.
 };
 
 /// Revisions only grow; a section keeps the revision that last changed it.
@@ -24,6 +26,8 @@
  public:
   /// Takes a checked text. kOk also where the same version with the same
   /// content stands already; kVersionConflict, kVersionNotNext otherwise.
+  /// Under `highest_wins` a version that is not higher is kOk and changes
+  /// nothing.
   ResultCode Apply(const Submission& submission);
 
   /// Sections changed after `known_revision`, of the `wanted` names (all
@@ -37,6 +41,8 @@
 
   std::uint64_t revision() const { return this->current_revision; }
   const std::string& text() const { return this->current_text; }
+  /// What the operator sent, where the text was translated from it.
+  const std::string& source() const { return this->current_source; }
   const Estate& estate() const { return this->current; }
 
  private:
@@ -49,6 +55,7 @@
 
   std::uint64_t current_revision = 0;
   std::string current_text = "{}";
+  std::string current_source;
   Estate current;
   std::map<std::string, wire::EstateSection> sections;
   std::map<std::uint64_t, std::uint64_t> accepted_checksums;
--- /dev/null
+++ b/src/libjobs/job_calls.cc
@@ -0,0 +1,110 @@
+#include "libjobs/job_calls.h"
+
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace savoryring {
+namespace {
+
+// Largest job that is taken; a larger one is a mistake of its sender.
+constexpr std::uint32_t kMostTasksOfStep = 100'000;
+
+wire::JobCommand SubmitCommand(const wire::JobCall& call,
+                               const QueueMatch& match) {
+  wire::JobCommand command;
+  wire::JobSpec& spec = *command.mutable_submit();
+  spec = call.submit();
+  spec.set_id(match.id);
+  spec.set_queue(match.queue->name);
+  spec.set_service(match.queue->service);
+  spec.set_priority(match.queue->priority);
+  spec.set_attempts(match.queue->attempts);
+  spec.set_slack_percent(
+      static_cast<std::uint32_t>(std::lround(match.queue->slack * 100)));
+  spec.set_latency_target_ms(
+      static_cast<std::uint32_t>(match.queue->latency_target.count()));
+  CheckJob(spec);
+  return command;
+}
+
+JobAnswer ShowQueue(const QueueMatch& match, const JobTable& table) {
+  const nlohmann::json shown{
+      {"pending_jobs", table.CountPending(match.queue->name)}};
+  return {.status = 200, .body = shown.dump()};
+}
+
+}  // namespace
+
+QueueMatch FindQueue(const Estate& estate,
+                     const std::string& host,
+                     const std::string& path) {
+  QueueMatch match;
+  for (const QueueSpec& queue : estate.queues) {
+    const bool takes = queue.host == host && path.starts_with(queue.prefix);
+    const bool longer = match.queue == nullptr ||
+                        queue.prefix.size() > match.queue->prefix.size();
+    if (takes && longer)
+      match.queue = &queue;
+  }
+  if (match.queue == nullptr)
+    throw Error(ResultCode::kUnknownQueue, host + path);
+  match.id = path.substr(match.queue->prefix.size());
+  return match;
+}
+
+std::variant<wire::JobCommand, JobAnswer> ReadJobCall(const wire::JobCall& call,
+                                                      const Estate& estate,
+                                                      const JobTable& table) {
+  const QueueMatch match = FindQueue(estate, call.host(), call.path());
+  if (call.has_submit()) {
+    if (match.id.empty())
+      throw Error(ResultCode::kMalformedJob, "the job has no id");
+    return SubmitCommand(call, match);
+  }
+  if (match.id.empty())
+    return ShowQueue(match, table);
+  const Job* job = table.Find(match.id);
+  if (job == nullptr)
+    throw Error(ResultCode::kUnknownJob, match.id);
+  if (call.cancel()) {
+    wire::JobCommand command;
+    command.set_cancel(match.id);
+    return command;
+  }
+  const nlohmann::json shown{{"state", NameOfState(job->state)}};
+  return JobAnswer{.status = 200, .body = shown.dump()};
+}
+
+void CheckJob(const wire::JobSpec& spec) {
+  const auto fail = [](const std::string& why) {
+    throw Error(ResultCode::kMalformedJob, why);
+  };
+  if (spec.steps_size() == 0)
+    fail("the job has no steps");
+  for (int number = 0; number < spec.steps_size(); ++number) {
+    const wire::JobStep& step = spec.steps(number);
+    if (step.count() == 0 || step.count() > kMostTasksOfStep)
+      fail("step " + std::to_string(number) + " has no valid count");
+    for (const std::uint32_t after : step.after()) {
+      if (after >= static_cast<std::uint32_t>(number))
+        fail("step " + std::to_string(number) + " waits for a later step");
+    }
+  }
+}
+
+std::string NameOfState(wire::JobState state) {
+  switch (state) {
+    case wire::JOB_STATE_RUNNING:
+      return "running";
+    case wire::JOB_STATE_COMPLETED:
+      return "completed";
+    case wire::JOB_STATE_FAILED:
+      return "failed";
+    case wire::JOB_STATE_CANCELLED:
+      return "cancelled";
+    default:
+      return "pending";
+  }
+}
+
+}  // namespace savoryring
--- /dev/null
+++ b/src/libjobs/job_scheduler.cc
@@ -0,0 +1,509 @@
+#include "libjobs/job_scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace savoryring {
+namespace {
+
+// Clocks of two machines differ by at most this over one lease; the platform
+// allows 2%.
+constexpr double kClockDrift = 1.03;
+// Share of a step's estimate after which a run without progress is stuck.
+constexpr std::uint32_t kStuckEstimates = 3;
+constexpr std::uint32_t kFullPercent = 100;
+// Starts of one decision; the rest follow in the next.
+constexpr int kMostStarts = 400;
+// How far a fill's place weighs a task that serves against free processors.
+constexpr std::int64_t kServingPenaltyMilli = 8000;
+
+TimePoint Stretched(TimePoint from, Milliseconds span) {
+  return from + std::chrono::duration_cast<std::chrono::nanoseconds>(
+                    span * kClockDrift);
+}
+
+std::string KeyOfDescription(const wire::JobWorkerDescription& worker) {
+  wire::JobWorkerDescription copy = worker;
+  // The time left counts down in every report and changes no decision.
+  copy.clear_remaining_ms();
+  return copy.SerializeAsString();
+}
+
+bool SameLife(const wire::JobWorkerDescription& a,
+              const wire::JobWorkerDescription& b) {
+  return a.born_ms() == b.born_ms() && a.instance() == b.instance();
+}
+
+}  // namespace
+
+JobScheduler::JobScheduler(JobSchedulerOptions options,
+                           const JobTable& table,
+                           TimePoint led_since)
+    : options(options) {
+  for (const auto& [agent, worker] : table.workers()) {
+    LiveAgent& live = this->agents[agent];
+    live.born_ms = worker.description.born_ms();
+    live.lease_bound = Stretched(led_since, this->options.lease);
+  }
+}
+
+// --- Reports ---
+
+std::optional<wire::JobCommand> JobScheduler::OnReport(
+    const JobTable& table,
+    const wire::AgentReport& report,
+    TimePoint now) {
+  const wire::JobWorkerDescription& worker = report.worker();
+  LiveAgent& live = this->agents[worker.agent()];
+  live.heard = now;
+  live.report_ns = report.sent_ns();
+  live.granted = false;
+  if (worker.instance().empty())
+    return std::nullopt;
+  const JobWorker* known = table.FindWorker(worker.agent());
+  const bool older_life = known != nullptr &&
+                          !SameLife(known->description, worker) &&
+                          worker.born_ms() < known->description.born_ms();
+  if (older_life)
+    return std::nullopt;
+  if (live.born_ms != worker.born_ms()) {
+    live.born_ms = worker.born_ms();
+    live.runs.clear();
+    live.proposed_end = 0;
+    live.failures = 0;
+    live.suspended_until = TimePoint();
+  }
+  wire::JobCommand command;
+  const bool registered =
+      known != nullptr && !known->lost && SameLife(known->description, worker);
+  live.gone = report.worker_gone();
+  if (live.gone) {
+    if (registered && live.proposed_loss != worker.born_ms()) {
+      live.proposed_loss = worker.born_ms();
+      *command.add_losses() =
+          this->LossOf(table, worker.agent(), "the worker is gone");
+      return command;
+    }
+    return std::nullopt;
+  }
+  live.proposed_loss = 0;
+  const std::string described = KeyOfDescription(worker);
+  const bool changed =
+      !registered || KeyOfDescription(known->description) != described;
+  const bool proposed =
+      live.proposed_description == described && now < live.propose_deadline;
+  if (changed && !proposed) {
+    *command.add_workers() = worker;
+    live.proposed_description = described;
+    live.propose_deadline = now + this->options.resend;
+  }
+  // Until a lease is granted, the worker holds nothing for longer than this.
+  if (!registered)
+    live.lease_bound = Stretched(now, this->options.lease);
+  const std::uint64_t seen =
+      std::max(live.proposed_end, registered ? known->acknowledged : 0);
+  const bool news = report.ends().up_to() > seen || report.rejected_size() > 0;
+  if (registered && news) {
+    wire::WorkerEnds* ends = command.add_ends();
+    *ends = report.ends();
+    ends->set_agent(worker.agent());
+    ends->set_born_ms(worker.born_ms());
+    for (const wire::TaskEnd& end : report.rejected())
+      *ends->add_ends() = end;
+    live.proposed_end = std::max(seen, report.ends().up_to());
+  }
+  if (registered)
+    this->TakeRuns(table, live, report, now);
+  if (command.ends_size() == 0 && command.workers_size() == 0)
+    return std::nullopt;
+  return command;
+}
+
+void JobScheduler::TakeRuns(const JobTable& table,
+                            LiveAgent& live,
+                            const wire::AgentReport& report,
+                            TimePoint now) {
+  const JobWorker& worker = *table.FindWorker(report.worker().agent());
+  live.strays.clear();
+  for (auto& [key, run] : live.runs)
+    run.known = false;
+  for (const wire::RunStatus& status : report.runs()) {
+    const TaskKey key = table.KeyOf(status.task());
+    const bool assigned = key.step.sequence != 0 && worker.runs.contains(key) &&
+                          table.Task(key).run == status.run();
+    if (!assigned) {
+      wire::StopOrder stop;
+      *stop.mutable_task() = status.task();
+      stop.set_run(status.run());
+      live.strays.push_back(std::move(stop));
+      continue;
+    }
+    LiveRun& run = live.runs[key];
+    const bool fresh = run.run != status.run();
+    if (fresh)
+      run = {.run = status.run(), .begun = now, .progressed = now};
+    if (status.percent() != run.percent || status.pending())
+      run.progressed = now;
+    if (status.pending())
+      run.begun = now;
+    run.known = true;
+    run.described = status.described();
+    run.percent = status.percent();
+    run.checkpoint = status.checkpoint();
+  }
+  std::erase_if(live.runs, [&worker](const auto& item) {
+    return !worker.runs.contains(item.first);
+  });
+  this->FindStuckRuns(table, report.worker().agent(), live, now);
+}
+
+void JobScheduler::FindStuckRuns(const JobTable& table,
+                                 const std::string& agent,
+                                 LiveAgent& live,
+                                 TimePoint now) {
+  for (auto& [key, run] : live.runs) {
+    const wire::JobStep& step = table.Step(key.step);
+    const bool at_work = step.lasting() && run.percent == kFullPercent;
+    if (run.moving || !run.known || at_work || step.fills())
+      continue;
+    const Milliseconds patience = std::max(
+        this->options.stuck,
+        Milliseconds(step.lasting() ? 0
+                                    : kStuckEstimates * step.estimated_ms()));
+    const bool stuck = now > run.progressed + this->options.stuck &&
+                       now > run.begun + patience;
+    if (!stuck)
+      continue;
+    run.moving = true;
+    this->moved.push_back(
+        {.task = TaskNameText(table.NameOf(key)),
+         .agent = agent,
+         .why = "no progress at " + std::to_string(run.percent) + "%"});
+  }
+}
+
+wire::AgentOrders JobScheduler::OrdersFor(const JobTable& table,
+                                          const std::string& agent,
+                                          TimePoint now) {
+  wire::AgentOrders orders;
+  LiveAgent& live = this->agents[agent];
+  const JobWorker* worker = table.FindWorker(agent);
+  orders.set_echoed_ns(live.report_ns);
+  const bool current = worker != nullptr && !worker->lost && !live.gone &&
+                       worker->description.born_ms() == live.born_ms;
+  if (!current)
+    return orders;
+  if (!live.granted) {
+    // The agent counts its lease from before this report was sent.
+    live.lease_bound = Stretched(live.heard, this->options.lease);
+    live.granted = true;
+  }
+  orders.set_lease_ms(static_cast<std::uint32_t>(this->options.lease.count()));
+  orders.set_born_ms(live.born_ms);
+  orders.set_acknowledged(worker->acknowledged);
+  for (const TaskKey& key : worker->runs) {
+    const JobTask& task = table.Task(key);
+    const Job& job = *table.FindSequence(key.step.sequence);
+    LiveRun& run = live.runs[key];
+    if (run.run != task.run)
+      run = {.run = task.run, .begun = now, .progressed = now};
+    const bool broken_gang =
+        table.Step(key.step).gang() && table.State(key.step).waiting > 0;
+    if (!job.IsOpen() || run.moving || broken_gang) {
+      wire::StopOrder* stop = orders.add_stops();
+      *stop->mutable_task() = table.NameOf(key);
+      stop->set_run(task.run);
+      continue;
+    }
+    const bool send = (!run.known || !run.described) &&
+                      now >= run.sent + this->options.resend;
+    if (!send)
+      continue;
+    run.sent = now;
+    const wire::JobStep& step = table.Step(key.step);
+    wire::StartOrder* start = orders.add_starts();
+    *start->mutable_task() = table.NameOf(key);
+    start->set_run(task.run);
+    start->set_payload(job.spec.payload());
+    start->set_checkpoint(task.checkpoint);
+    start->set_tail_target_ms(step.tail_target_ms());
+    start->set_fills(step.fills());
+  }
+  for (const wire::StopOrder& stray : live.strays)
+    *orders.add_stops() = stray;
+  return orders;
+}
+
+void JobScheduler::OnEvent(const JobEvent& event, TimePoint now) {
+  if (event.kind != JobEvent::Kind::kEnded)
+    return;
+  LiveAgent& live = this->agents[event.agent];
+  if (event.how == wire::RUN_END_DONE)
+    live.failures = 0;
+  if (event.how != wire::RUN_END_FAILED && event.how != wire::RUN_END_REJECTED)
+    return;
+  live.failures += 1;
+  if (live.failures < this->options.failures_to_suspend)
+    return;
+  live.suspended_until = now + this->options.suspension;
+  this->suspended.push_back(event.agent);
+}
+
+// --- Decisions ---
+
+std::optional<wire::JobCommand> JobScheduler::Decide(const JobTable& table,
+                                                     std::int64_t wall_ms,
+                                                     TimePoint now) {
+  wire::JobCommand command;
+  this->GiveUpSilent(table, now, command);
+  this->BeginDue(table, wall_ms, command);
+  this->Place(table, now, command);
+  const bool empty = command.losses_size() == 0 &&
+                     command.occurrences_size() == 0 &&
+                     command.starts_size() == 0;
+  if (empty)
+    return std::nullopt;
+  return command;
+}
+
+void JobScheduler::GiveUpSilent(const JobTable& table,
+                                TimePoint now,
+                                wire::JobCommand& command) {
+  for (const auto& [agent, worker] : table.workers()) {
+    const auto found = this->agents.find(agent);
+    if (worker.lost || found == this->agents.end())
+      continue;
+    if (now > found->second.lease_bound)
+      *command.add_losses() = this->LossOf(table, agent, "its lease ended");
+  }
+}
+
+wire::WorkerLoss JobScheduler::LossOf(const JobTable& table,
+                                      const std::string& agent,
+                                      const std::string& why) const {
+  wire::WorkerLoss loss;
+  loss.set_agent(agent);
+  loss.set_born_ms(table.FindWorker(agent)->description.born_ms());
+  loss.set_why(why);
+  const auto found = this->agents.find(agent);
+  if (found == this->agents.end())
+    return loss;
+  for (const auto& [key, run] : found->second.runs) {
+    if (run.checkpoint.empty())
+      continue;
+    wire::TaskEnd* known = loss.add_checkpoints();
+    *known->mutable_task() = table.NameOf(key);
+    known->set_run(run.run);
+    known->set_checkpoint(run.checkpoint);
+  }
+  return loss;
+}
+
+void JobScheduler::BeginDue(const JobTable& table,
+                            std::int64_t wall_ms,
+                            wire::JobCommand& command) {
+  for (const std::uint64_t sequence : table.timed_jobs()) {
+    const Job& job = *table.FindSequence(sequence);
+    const auto next = job.done_occurrences +
+                      static_cast<std::uint32_t>(job.occurrences.size());
+    const std::int64_t due =
+        job.spec.start_at_ms() + std::int64_t{next} * job.spec.interval_ms();
+    if (wall_ms < due)
+      continue;
+    wire::OccurrenceStart* start = command.add_occurrences();
+    start->set_job(job.spec.id());
+    start->set_occurrence(next);
+  }
+}
+
+namespace {
+
+// When the owner expects the job: its longest chain of estimates, stretched by
+// the queue's slack, and the queue's own latency target.
+std::uint64_t DueTime(const Job& job) {
+  std::vector<std::uint64_t> chain;
+  for (const wire::JobStep& step : job.spec.steps()) {
+    std::uint64_t before = 0;
+    for (const std::uint32_t after : step.after()) {
+      if (after < chain.size())
+        before = std::max(before, chain[after]);
+    }
+    chain.push_back(before + step.estimated_ms());
+  }
+  const std::uint64_t longest =
+      chain.empty() ? 0 : *std::ranges::max_element(chain);
+  return job.accepted_ms + longest * job.spec.slack_percent() / 100 +
+         job.spec.latency_target_ms();
+}
+
+}  // namespace
+
+void JobScheduler::Place(const JobTable& table,
+                         TimePoint now,
+                         wire::JobCommand& command) {
+  if (table.ready_steps().empty())
+    return;
+  struct Candidate {
+    std::uint32_t priority = 0;
+    std::uint64_t due = 0;
+    StepKey key;
+    auto operator<=>(const Candidate& other) const = default;
+  };
+  std::vector<Candidate> candidates;
+  for (const StepKey& key : table.ready_steps()) {
+    const Job& job = *table.FindSequence(key.sequence);
+    candidates.push_back(
+        {.priority = job.spec.priority(), .due = DueTime(job), .key = key});
+  }
+  std::ranges::sort(candidates);
+  std::map<std::string, Room> rooms = this->Rooms(table, now);
+  for (const Candidate& candidate : candidates) {
+    if (command.starts_size() >= kMostStarts)
+      return;
+    if (table.Step(candidate.key).gang())
+      this->PlaceGang(table, candidate.key, rooms, command);
+    else
+      this->PlaceStep(table, candidate.key, rooms, command);
+  }
+}
+
+std::map<std::string, JobScheduler::Room> JobScheduler::Rooms(
+    const JobTable& table,
+    TimePoint now) {
+  std::map<std::string, Room> rooms;
+  for (const auto& [agent, worker] : table.workers()) {
+    const LiveAgent& live = this->agents[agent];
+    const bool usable =
+        !worker.lost && !live.gone && !worker.description.draining() &&
+        live.born_ms == worker.description.born_ms() &&
+        live.heard != TimePoint() && now < live.heard + this->options.quiet;
+    if (!usable || now < live.suspended_until)
+      continue;
+    Room& room = rooms[agent];
+    const wire::JobWorkerDescription& size = worker.description;
+    room.worker = &worker;
+    room.cpu_milli = std::int64_t{size.cpu_milli()} -
+                     static_cast<std::int64_t>(worker.used_cpu_milli);
+    room.memory_mb = static_cast<std::int64_t>(size.memory_mb()) -
+                     static_cast<std::int64_t>(worker.used_memory_mb);
+    room.accelerators = std::int64_t{size.accelerators()} -
+                        static_cast<std::int64_t>(worker.used_accelerators);
+    room.fill_cpu_milli = static_cast<std::int64_t>(worker.fill_cpu_milli);
+    // A worker that comes back from its suspension proves itself first.
+    room.probe_only = live.failures >= this->options.failures_to_suspend &&
+                      !worker.runs.empty();
+    for (const TaskKey& key : worker.runs) {
+      room.serving += table.Step(key.step).tail_target_ms() > 0 ? 1 : 0;
+      room.of_step[key.step] += 1;
+    }
+  }
+  return rooms;
+}
+
+namespace {
+
+bool HasLabel(const JobWorker& worker, const std::string& label) {
+  const auto& labels = worker.description.labels();
+  return label.empty() || std::ranges::find(labels, label) != labels.end();
+}
+
+}  // namespace
+
+void JobScheduler::PlaceStep(const JobTable& table,
+                             const StepKey& key,
+                             std::map<std::string, Room>& rooms,
+                             wire::JobCommand& command) {
+  const wire::JobStep& step = table.Step(key);
+  const Job& job = *table.FindSequence(key.sequence);
+  const StepState& state = table.State(key);
+  const auto memory = static_cast<std::int64_t>(step.memory_mb());
+  const std::int64_t cpu = step.fills() ? 0 : step.cpu_milli();
+  for (std::uint32_t index = 0; index < state.tasks.size(); ++index) {
+    const JobTask& task = state.tasks[index];
+    if (task.state != JobTaskState::kWaiting)
+      continue;
+    if (command.starts_size() >= kMostStarts)
+      return;
+    Room* best = nullptr;
+    std::int64_t best_cost = 0;
+    for (auto& [agent, room] : rooms) {
+      const bool fits = room.cpu_milli >= cpu && room.memory_mb >= memory &&
+                        room.accelerators >= step.accelerators();
+      const bool suits =
+          room.worker->description.service() == job.spec.service() &&
+          HasLabel(*room.worker, step.required_label()) && !room.probe_only;
+      const bool spread =
+          step.spread_limit() == 0 || room.of_step[key] < step.spread_limit();
+      if (!fits || !suits || !spread)
+        continue;
+      std::int64_t cost = 0;
+      if (step.fills()) {
+        // What others leave here, shared with the fills that are here.
+        cost = room.fill_cpu_milli - room.cpu_milli +
+               static_cast<std::int64_t>(room.serving) * kServingPenaltyMilli;
+      } else {
+        // Best fit keeps large gaps for large tasks.
+        cost = room.cpu_milli - cpu;
+        if (step.tail_target_ms() > 0)
+          cost += 2 * room.fill_cpu_milli;
+      }
+      if (!step.data_rack().empty() &&
+          !HasLabel(*room.worker, step.data_rack()))
+        cost += kServingPenaltyMilli;
+      // The worker that failed a task last is the last choice for it.
+      if (task.failures > 0 && agent == task.agent)
+        cost += 4 * kServingPenaltyMilli;
+      if (best == nullptr || cost < best_cost) {
+        best = &room;
+        best_cost = cost;
+      }
+    }
+    if (best == nullptr && task.run == 0)
+      return;  // The other new tasks of the step are no smaller.
+    if (best == nullptr)
+      continue;
+    best->cpu_milli -= cpu;
+    best->memory_mb -= memory;
+    best->accelerators -= step.accelerators();
+    best->fill_cpu_milli += step.fills() ? step.cpu_milli() : 0;
+    best->serving += step.tail_target_ms() > 0 ? 1 : 0;
+    best->of_step[key] += 1;
+    if (best->worker->runs.empty() &&
+        this->agents[best->worker->description.agent()].failures >=
+            this->options.failures_to_suspend)
+      best->probe_only = true;
+    wire::TaskStart* start = command.add_starts();
+    *start->mutable_task() = table.NameOf({.step = key, .index = index});
+    start->set_run(task.run + 1);
+    start->set_agent(best->worker->description.agent());
+    start->set_born_ms(best->worker->description.born_ms());
+  }
+}
+
+// A gang starts as a whole or not at all.
+void JobScheduler::PlaceGang(const JobTable& table,
+                             const StepKey& key,
+                             std::map<std::string, Room>& rooms,
+                             wire::JobCommand& command) {
+  const StepState& state = table.State(key);
+  if (state.waiting != state.tasks.size())
+    return;
+  std::map<std::string, Room> trial = rooms;
+  wire::JobCommand placed;
+  this->PlaceStep(table, key, trial, placed);
+  if (static_cast<std::size_t>(placed.starts_size()) != state.tasks.size())
+    return;
+  rooms = std::move(trial);
+  for (const wire::TaskStart& start : placed.starts())
+    *command.add_starts() = start;
+}
+
+std::vector<MovedRun> JobScheduler::TakeMoved() {
+  return std::exchange(this->moved, {});
+}
+
+std::vector<std::string> JobScheduler::TakeSuspended() {
+  return std::exchange(this->suspended, {});
+}
+
+}  // namespace savoryring
--- /dev/null
+++ b/src/libjobs/job_scheduler.h
@@ -0,0 +1,145 @@
+/// The leader's decisions on jobs: which ready task goes to which worker, when
+/// a worker is given up, and what each agent is told. It answers for load
+/// where the workers' room is short and for workers that fail, hang or go.
+/// Holds only what a new leader learns again from the agents' reports.
+#ifndef SAVORYRING_LIBJOBS_JOB_SCHEDULER_H_
+#define SAVORYRING_LIBJOBS_JOB_SCHEDULER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "libjobs/job_table.h"
+#include "savoryring/time.h"
+
+namespace savoryring {
+
+struct JobSchedulerOptions {
+  /// How long an agent may let its worker run without hearing the leader.
+  Milliseconds lease{6000};
+  /// A worker whose agent was not heard for this long gets nothing new.
+  Milliseconds quiet{1500};
+  /// An order that no report shows is sent again after this.
+  Milliseconds resend{400};
+  /// Consecutive failures of different tasks that suspend a worker.
+  std::uint32_t failures_to_suspend = 3;
+  Milliseconds suspension{8000};
+  /// A run without progress for this long, and past three times its estimate,
+  /// is moved to another worker.
+  Milliseconds stuck{2500};
+};
+
+/// A run that the leader takes from its worker.
+struct MovedRun {
+  std::string task;
+  std::string agent;
+  std::string why;
+};
+
+class JobScheduler {
+ public:
+  /// `led_since`: grants of earlier leaders end one lease after it.
+  JobScheduler(JobSchedulerOptions options,
+               const JobTable& table,
+               TimePoint led_since);
+
+  /// Takes an agent's report. The command, where there is one, is to be
+  /// committed.
+  std::optional<wire::JobCommand> OnReport(const JobTable& table,
+                                           const wire::AgentReport& report,
+                                           TimePoint now);
+  /// What the agent is to do now; grants a lease from its last report on.
+  wire::AgentOrders OrdersFor(const JobTable& table,
+                              const std::string& agent,
+                              TimePoint now);
+  /// Follows what the table did.
+  void OnEvent(const JobEvent& event, TimePoint now);
+
+  /// The next decision, to be committed before another is asked for;
+  /// `wall_ms` is the Unix time for jobs that begin by time.
+  std::optional<wire::JobCommand> Decide(const JobTable& table,
+                                         std::int64_t wall_ms,
+                                         TimePoint now);
+
+  std::vector<MovedRun> TakeMoved();
+  std::vector<std::string> TakeSuspended();
+
+ private:
+  struct LiveRun {
+    std::uint32_t run = 0;
+    TimePoint sent;      // last start order; the epoch: none sent
+    bool known = false;  // the agent has it
+    bool described = false;
+    bool moving = false;  // to be stopped and placed elsewhere
+    std::uint32_t percent = 0;
+    TimePoint begun;
+    TimePoint progressed;
+    std::string checkpoint;
+  };
+  struct LiveAgent {
+    TimePoint heard;
+    TimePoint lease_bound;  // until then its worker may run on
+    std::uint64_t report_ns = 0;
+    bool granted = false;
+    bool gone = false;  // its agent says that the worker is dead
+    std::int64_t born_ms = 0;
+    std::uint64_t proposed_end = 0;
+    std::string proposed_description;
+    TimePoint propose_deadline;  // the description is proposed again then
+    std::int64_t proposed_loss = 0;
+    std::map<TaskKey, LiveRun> runs;
+    std::vector<wire::StopOrder> strays;  // runs that nobody assigned
+    std::uint32_t failures = 0;
+    TimePoint suspended_until;
+  };
+  struct Room {
+    const JobWorker* worker = nullptr;
+    std::int64_t cpu_milli = 0;
+    std::int64_t memory_mb = 0;
+    std::int64_t accelerators = 0;
+    std::int64_t fill_cpu_milli = 0;
+    std::size_t serving = 0;
+    bool probe_only = false;
+    std::map<StepKey, std::size_t> of_step;
+  };
+
+  void TakeRuns(const JobTable& table,
+                LiveAgent& live,
+                const wire::AgentReport& report,
+                TimePoint now);
+  void FindStuckRuns(const JobTable& table,
+                     const std::string& agent,
+                     LiveAgent& live,
+                     TimePoint now);
+  void GiveUpSilent(const JobTable& table,
+                    TimePoint now,
+                    wire::JobCommand& command);
+  void BeginDue(const JobTable& table,
+                std::int64_t wall_ms,
+                wire::JobCommand& command);
+  void Place(const JobTable& table, TimePoint now, wire::JobCommand& command);
+  std::map<std::string, Room> Rooms(const JobTable& table, TimePoint now);
+  void PlaceStep(const JobTable& table,
+                 const StepKey& key,
+                 std::map<std::string, Room>& rooms,
+                 wire::JobCommand& command);
+  void PlaceGang(const JobTable& table,
+                 const StepKey& key,
+                 std::map<std::string, Room>& rooms,
+                 wire::JobCommand& command);
+  wire::WorkerLoss LossOf(const JobTable& table,
+                          const std::string& agent,
+                          const std::string& why) const;
+
+  JobSchedulerOptions options;
+  std::map<std::string, LiveAgent> agents;
+  std::vector<MovedRun> moved;
+  std::vector<std::string> suspended;
+};
+
+}  // namespace savoryring
+
+#endif  // SAVORYRING_LIBJOBS_JOB_SCHEDULER_H_
--- /dev/null
+++ b/src/libjobs/job_table.cc
@@ -0,0 +1,630 @@
+#include "libjobs/job_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace savoryring {
+namespace {
+
+// How long the outcome of an ended job is kept, in group time.
+constexpr std::uint64_t kKeepEndedMs = 900'000;
+
+}  // namespace
+
+std::size_t CountRuns(const JobWorker& worker, const StepKey& key) {
+  const auto first = worker.runs.lower_bound({.step = key});
+  const auto last = worker.runs.upper_bound({.step = key, .index = UINT32_MAX});
+  return static_cast<std::size_t>(std::distance(first, last));
+}
+
+std::string TaskNameText(const wire::TaskName& name) {
+  return name.job() + "." + std::to_string(name.occurrence()) + "." +
+         std::to_string(name.step()) + "." + std::to_string(name.index());
+}
+
+JobApplyResult JobTable::Apply(const wire::JobCommand& command) {
+  this->group_time = std::max(this->group_time, command.group_time_ms());
+  JobApplyResult result;
+  if (command.has_submit())
+    result = this->Submit(command.submit());
+  if (!command.cancel().empty())
+    result = this->Cancel(command.cancel());
+  for (const wire::WorkerEnds& ends : command.ends())
+    this->TakeEnds(ends);
+  for (const wire::WorkerLoss& loss : command.losses())
+    this->Lose(loss);
+  for (const wire::JobWorkerDescription& worker : command.workers())
+    this->Register(worker);
+  for (const wire::OccurrenceStart& start : command.occurrences())
+    this->Begin(start);
+  for (const wire::TaskStart& start : command.starts())
+    this->Start(start);
+  this->ForgetOldJobs();
+  return result;
+}
+
+// --- Jobs ---
+
+JobApplyResult JobTable::Submit(const wire::JobSpec& spec) {
+  // A resend of an accepted job is that job.
+  if (this->sequence_of_id.contains(spec.id()))
+    return {};
+  const std::uint64_t sequence = this->next_sequence++;
+  this->sequence_of_id[spec.id()] = sequence;
+  Job& job = this->job_table[sequence];
+  job.spec = spec;
+  job.sequence = sequence;
+  job.accepted_ms = this->group_time;
+  this->Note({.kind = JobEvent::Kind::kAccepted, .job = spec.id()});
+  if (spec.repeat_count() > 0) {
+    this->timed.insert(sequence);
+    return {};
+  }
+  this->pending.insert(sequence);
+  this->AddOccurrence(job, 0);
+  return {};
+}
+
+JobApplyResult JobTable::Cancel(const std::string& id) {
+  const auto found = this->sequence_of_id.find(id);
+  if (found == this->sequence_of_id.end())
+    return {.code = ResultCode::kUnknownJob};
+  Job& job = this->job_table.at(found->second);
+  if (job.IsOpen())
+    this->EndJob(job, wire::JOB_STATE_CANCELLED, "cancelled by its owner");
+  return {};
+}
+
+void JobTable::AddOccurrence(Job& job, std::uint32_t number) {
+  std::vector<StepState>& steps = job.occurrences[number];
+  for (const wire::JobStep& step : job.spec.steps()) {
+    StepState state;
+    state.tasks.resize(step.count());
+    state.waiting = step.count();
+    steps.push_back(std::move(state));
+  }
+  this->UpdateReady(job, number);
+}
+
+void JobTable::Begin(const wire::OccurrenceStart& start) {
+  const auto found = this->sequence_of_id.find(start.job());
+  if (found == this->sequence_of_id.end())
+    return;
+  Job& job = this->job_table.at(found->second);
+  const bool due = job.IsOpen() && start.occurrence() < job.spec.repeat_count();
+  const auto next =
+      job.done_occurrences + static_cast<std::uint32_t>(job.occurrences.size());
+  if (!due || start.occurrence() != next)
+    return;
+  this->AddOccurrence(job, start.occurrence());
+  if (next + 1 == job.spec.repeat_count())
+    this->timed.erase(job.sequence);
+}
+
+void JobTable::EndJob(Job& job, wire::JobState state, const std::string& why) {
+  job.state = state;
+  job.ended_ms = this->group_time;
+  this->timed.erase(job.sequence);
+  this->pending.erase(job.sequence);
+  this->ended.insert(job.sequence);
+  const auto first = this->ready.lower_bound({.sequence = job.sequence});
+  const auto last = this->ready.lower_bound({.sequence = job.sequence + 1});
+  this->ready.erase(first, last);
+  for (const auto& [number, steps] : job.occurrences) {
+    for (const StepState& step : steps) {
+      for (const JobTask& task : step.tasks) {
+        if (task.state == JobTaskState::kAssigned)
+          this->changed_agents.insert(task.agent);
+      }
+    }
+  }
+  this->Note({.kind = JobEvent::Kind::kJobEnded,
+              .job = job.spec.id(),
+              .why = wire::JobState_Name(state) + ": " + why});
+  this->DropBodyIfIdle(job);
+}
+
+// Of an ended job only its outcome is needed once nothing of it runs.
+void JobTable::DropBodyIfIdle(Job& job) {
+  if (job.IsOpen() || job.assigned > 0)
+    return;
+  job.occurrences.clear();
+  job.spec.clear_payload();
+  job.spec.clear_steps();
+}
+
+void JobTable::ForgetOldJobs() {
+  while (!this->ended.empty()) {
+    const auto found = this->job_table.find(*this->ended.begin());
+    const Job& job = found->second;
+    if (job.assigned > 0 || this->group_time < job.ended_ms + kKeepEndedMs)
+      return;
+    this->sequence_of_id.erase(job.spec.id());
+    this->job_table.erase(found);
+    this->ended.erase(this->ended.begin());
+  }
+}
+
+// --- Workers ---
+
+void JobTable::Register(const wire::JobWorkerDescription& description) {
+  JobWorker& worker = this->worker_table[description.agent()];
+  const wire::JobWorkerDescription& known = worker.description;
+  const bool same_life = known.born_ms() == description.born_ms() &&
+                         known.instance() == description.instance();
+  if (!same_life && description.born_ms() < known.born_ms())
+    return;
+  if (!same_life) {
+    this->ReleaseAll(worker, "the worker began a new life");
+    worker.acknowledged = 0;
+  }
+  worker.description = description;
+  worker.lost = false;
+  this->changed_agents.insert(description.agent());
+}
+
+void JobTable::Lose(const wire::WorkerLoss& loss) {
+  const auto found = this->worker_table.find(loss.agent());
+  if (found == this->worker_table.end())
+    return;
+  JobWorker& worker = found->second;
+  if (worker.lost || worker.description.born_ms() != loss.born_ms())
+    return;
+  for (const wire::TaskEnd& known : loss.checkpoints()) {
+    const TaskKey key = this->KeyOf(known.task());
+    if (!worker.runs.contains(key))
+      continue;
+    JobTask& task = this->MutableTask(key);
+    if (task.run == known.run())
+      task.checkpoint = known.checkpoint();
+  }
+  this->ReleaseAll(worker, loss.why());
+  worker.lost = true;
+}
+
+void JobTable::ReleaseAll(JobWorker& worker, const std::string& why) {
+  if (worker.description.agent().empty())
+    return;
+  this->Note({.kind = JobEvent::Kind::kLost,
+              .agent = worker.description.agent(),
+              .why = why});
+  const std::set<TaskKey> runs = worker.runs;
+  for (const TaskKey& key : runs) {
+    JobTask& task = this->MutableTask(key);
+    this->Note({.kind = JobEvent::Kind::kEnded,
+                .job = this->NameOf(key).job(),
+                .task = TaskNameText(this->NameOf(key)),
+                .agent = task.agent,
+                .run = task.run,
+                .how = wire::RUN_END_LAPSED,
+                .why = why});
+    this->Release(task, key);
+    Job& job = *this->MutableJob(key.step.sequence);
+    this->UpdateReady(job, key.step);
+    this->DropBodyIfIdle(job);
+  }
+}
+
+// --- Runs ---
+
+bool JobTable::MayStart(const wire::TaskStart& start,
+                        const TaskKey& key) const {
+  if (key.step.sequence == 0 || !this->IsReady(key.step))
+    return false;
+  const JobTask& task = this->Task(key);
+  if (task.state != JobTaskState::kWaiting || start.run() != task.run + 1)
+    return false;
+  const JobWorker* worker = this->FindWorker(start.agent());
+  if (worker == nullptr || worker->lost || worker->description.draining() ||
+      worker->description.born_ms() != start.born_ms())
+    return false;
+  const wire::JobStep& step = this->Step(key.step);
+  if (step.spread_limit() > 0 &&
+      CountRuns(*worker, key.step) >= step.spread_limit())
+    return false;
+  const wire::JobWorkerDescription& size = worker->description;
+  const std::uint64_t cpu = step.fills() ? 0 : step.cpu_milli();
+  const bool fits =
+      worker->used_cpu_milli + cpu <= size.cpu_milli() &&
+      worker->used_memory_mb + step.memory_mb() <= size.memory_mb() &&
+      worker->used_accelerators + step.accelerators() <= size.accelerators();
+  return fits || this->mutations.skip_capacity_check;
+}
+
+void JobTable::Start(const wire::TaskStart& start) {
+  const TaskKey key = this->KeyOf(start.task());
+  if (!this->MayStart(start, key))
+    return;
+  Job& job = *this->MutableJob(key.step.sequence);
+  JobTask& task = this->MutableTask(key);
+  JobWorker& worker = this->worker_table.at(start.agent());
+  task.state = JobTaskState::kAssigned;
+  task.run = start.run();
+  task.agent = start.agent();
+  worker.runs.insert(key);
+  this->AddUse(worker, this->Step(key.step), true);
+  job.occurrences[key.step.occurrence][key.step.step].waiting -= 1;
+  job.assigned += 1;
+  job.state = wire::JOB_STATE_RUNNING;
+  this->pending.erase(job.sequence);
+  this->UpdateReady(job, key.step);
+  this->changed_agents.insert(start.agent());
+  this->Note({.kind = JobEvent::Kind::kStarted,
+              .job = job.spec.id(),
+              .task = TaskNameText(start.task()),
+              .agent = start.agent(),
+              .run = start.run()});
+}
+
+void JobTable::TakeEnds(const wire::WorkerEnds& ends) {
+  const auto found = this->worker_table.find(ends.agent());
+  if (found == this->worker_table.end())
+    return;
+  JobWorker& worker = found->second;
+  if (worker.description.born_ms() != ends.born_ms())
+    return;
+  for (const wire::TaskEnd& end : ends.ends()) {
+    if (end.number() == 0 || end.number() > worker.acknowledged)
+      this->TakeEnd(ends.agent(), end);
+  }
+  worker.acknowledged = std::max(worker.acknowledged, ends.up_to());
+  this->changed_agents.insert(ends.agent());
+}
+
+void JobTable::TakeEnd(const std::string& agent, const wire::TaskEnd& end) {
+  const TaskKey key = this->KeyOf(end.task());
+  if (key.step.sequence == 0)
+    return;
+  Job& job = *this->MutableJob(key.step.sequence);
+  JobTask& task = this->MutableTask(key);
+  const bool lasting = this->Step(key.step).lasting();
+  const bool counts = end.how() == wire::RUN_END_FAILED && job.IsOpen();
+  if (task.run != end.run() && !this->mutations.ignore_runs) {
+    if (counts)
+      this->CountFailure(job, key, end.run());
+    return;
+  }
+  this->Note({.kind = JobEvent::Kind::kEnded,
+              .job = job.spec.id(),
+              .task = TaskNameText(end.task()),
+              .agent = agent,
+              .run = end.run(),
+              .how = end.how()});
+  if (!end.checkpoint().empty())
+    task.checkpoint = end.checkpoint();
+  const bool here =
+      task.state == JobTaskState::kAssigned && task.agent == agent;
+  if (here)
+    this->Release(task, key);
+  // News of a run that was given up still counts while no other has begun.
+  const bool done = end.how() == wire::RUN_END_DONE && !lasting &&
+                    task.state == JobTaskState::kWaiting;
+  if (done && job.IsOpen())
+    this->FinishTask(job, key);
+  else
+    this->UpdateReady(job, key.step);
+  if (counts)
+    this->CountFailure(job, key, end.run());
+  this->DropBodyIfIdle(job);
+}
+
+void JobTable::CountFailure(Job& job, const TaskKey& key, std::uint32_t run) {
+  const wire::JobStep& step = this->Step(key.step);
+  if (step.lasting())
+    return;
+  StepState& state = job.occurrences[key.step.occurrence][key.step.step];
+  JobTask& task = state.tasks[key.index];
+  if (step.gang()) {
+    // The members of a gang fail as one.
+    if (state.failed_run >= run)
+      return;
+    state.failed_run = run;
+    for (JobTask& member : state.tasks)
+      member.failures += 1;
+  } else {
+    task.failures += 1;
+  }
+  if (task.failures >= std::max(1U, job.spec.attempts())) {
+    this->EndJob(job, wire::JOB_STATE_FAILED,
+                 TaskNameText(this->NameOf(key)) + " failed " +
+                     std::to_string(task.failures) + " times");
+  }
+}
+
+void JobTable::FinishTask(Job& job, const TaskKey& key) {
+  std::vector<StepState>& steps = job.occurrences[key.step.occurrence];
+  StepState& state = steps[key.step.step];
+  const auto finish = [&](std::uint32_t index) {
+    JobTask& task = state.tasks[index];
+    if (task.state == JobTaskState::kDone)
+      return;
+    if (task.state == JobTaskState::kAssigned)
+      this->Release(task, {.step = key.step, .index = index});
+    task.state = JobTaskState::kDone;
+    task.checkpoint.clear();
+    state.waiting -= 1;
+    state.done += 1;
+  };
+  finish(key.index);
+  if (this->Step(key.step).gang()) {
+    // The end of one member stands for all of that run.
+    for (std::uint32_t index = 0; index < state.tasks.size(); ++index)
+      finish(index);
+  }
+  this->UpdateReady(job, key.step.occurrence);
+  const bool all_done =
+      std::ranges::all_of(steps, [](const auto& s) { return s.IsDone(); });
+  if (all_done)
+    this->CompleteOccurrence(job, key.step.occurrence);
+}
+
+void JobTable::CompleteOccurrence(Job& job, std::uint32_t number) {
+  job.occurrences.erase(number);
+  job.done_occurrences += 1;
+  if (job.done_occurrences >= std::max(1U, job.spec.repeat_count()))
+    this->EndJob(job, wire::JOB_STATE_COMPLETED, "every task is done");
+}
+
+// Gives the worker's room back and leaves the task waiting.
+void JobTable::Release(JobTask& task, const TaskKey& key) {
+  Job& job = *this->MutableJob(key.step.sequence);
+  JobWorker& worker = this->worker_table.at(task.agent);
+  this->AddUse(worker, this->Step(key.step), false);
+  worker.runs.erase(key);
+  this->changed_agents.insert(task.agent);
+  job.assigned -= 1;
+  task.state = JobTaskState::kWaiting;
+  job.occurrences[key.step.occurrence][key.step.step].waiting += 1;
+}
+
+void JobTable::AddUse(JobWorker& worker, const wire::JobStep& step, bool add) {
+  const auto change = [add](std::uint64_t& sum, std::uint64_t amount) {
+    sum = add ? sum + amount : sum - amount;
+  };
+  change(step.fills() ? worker.fill_cpu_milli : worker.used_cpu_milli,
+         step.cpu_milli());
+  change(worker.used_memory_mb, step.memory_mb());
+  change(worker.used_accelerators, step.accelerators());
+}
+
+// --- Indexes ---
+
+bool JobTable::IsReady(const StepKey& key) const {
+  const Job* job = this->FindSequence(key.sequence);
+  if (job == nullptr || !job->IsOpen())
+    return false;
+  const auto found = job->occurrences.find(key.occurrence);
+  if (found == job->occurrences.end() || key.step >= found->second.size())
+    return false;
+  const auto& after = job->spec.steps(static_cast<int>(key.step)).after();
+  return std::ranges::all_of(after, [&](std::uint32_t step) {
+    return step < found->second.size() && found->second[step].IsDone();
+  });
+}
+
+void JobTable::UpdateReady(const Job& job, const StepKey& key) {
+  const auto found = job.occurrences.find(key.occurrence);
+  const bool is_ready = found != job.occurrences.end() &&
+                        found->second[key.step].waiting > 0 &&
+                        this->IsReady(key);
+  if (is_ready)
+    this->ready.insert(key);
+  else
+    this->ready.erase(key);
+}
+
+void JobTable::UpdateReady(const Job& job, std::uint32_t occurrence) {
+  const auto count = static_cast<std::uint32_t>(job.spec.steps_size());
+  for (std::uint32_t step = 0; step < count; ++step) {
+    this->UpdateReady(
+        job,
+        {.sequence = job.sequence, .occurrence = occurrence, .step = step});
+  }
+}
+
+const Job* JobTable::Find(const std::string& id) const {
+  const auto found = this->sequence_of_id.find(id);
+  return found == this->sequence_of_id.end()
+             ? nullptr
+             : &this->job_table.at(found->second);
+}
+
+const Job* JobTable::FindSequence(std::uint64_t sequence) const {
+  const auto found = this->job_table.find(sequence);
+  return found == this->job_table.end() ? nullptr : &found->second;
+}
+
+Job* JobTable::MutableJob(std::uint64_t sequence) {
+  return &this->job_table.at(sequence);
+}
+
+const JobWorker* JobTable::FindWorker(const std::string& agent) const {
+  const auto found = this->worker_table.find(agent);
+  return found == this->worker_table.end() ? nullptr : &found->second;
+}
+
+const StepState& JobTable::State(const StepKey& key) const {
+  return this->job_table.at(key.sequence)
+      .occurrences.at(key.occurrence)
+      .at(key.step);
+}
+
+const JobTask& JobTable::Task(const TaskKey& key) const {
+  return this->State(key.step).tasks.at(key.index);
+}
+
+JobTask& JobTable::MutableTask(const TaskKey& key) {
+  return this->job_table.at(key.step.sequence)
+      .occurrences.at(key.step.occurrence)
+      .at(key.step.step)
+      .tasks.at(key.index);
+}
+
+const wire::JobStep& JobTable::Step(const StepKey& key) const {
+  return this->job_table.at(key.sequence)
+      .spec.steps(static_cast<int>(key.step));
+}
+
+wire::TaskName JobTable::NameOf(const TaskKey& key) const {
+  wire::TaskName name;
+  name.set_job(this->job_table.at(key.step.sequence).spec.id());
+  name.set_occurrence(key.step.occurrence);
+  name.set_step(key.step.step);
+  name.set_index(key.index);
+  return name;
+}
+
+TaskKey JobTable::KeyOf(const wire::TaskName& name) const {
+  const Job* job = this->Find(name.job());
+  if (job == nullptr)
+    return {};
+  const auto found = job->occurrences.find(name.occurrence());
+  const bool known = found != job->occurrences.end() &&
+                     name.step() < found->second.size() &&
+                     name.index() < found->second[name.step()].tasks.size();
+  if (!known)
+    return {};
+  return {.step = {.sequence = job->sequence,
+                   .occurrence = name.occurrence(),
+                   .step = name.step()},
+          .index = name.index()};
+}
+
+std::uint32_t JobTable::CountPending(const std::string& queue) const {
+  return static_cast<std::uint32_t>(
+      std::ranges::count_if(this->pending, [&](std::uint64_t sequence) {
+        return this->job_table.at(sequence).spec.queue() == queue;
+      }));
+}
+
+std::vector<JobEvent> JobTable::TakeEvents() {
+  return std::exchange(this->events, {});
+}
+
+std::set<std::string> JobTable::TakeChangedAgents() {
+  return std::exchange(this->changed_agents, {});
+}
+
+// --- Snapshots ---
+
+namespace {
+
+void SaveSteps(const std::vector<StepState>& steps,
+               wire::StoredOccurrence* stored) {
+  for (const StepState& step : steps) {
+    wire::StoredStep* stored_step = stored->add_steps();
+    stored_step->set_failed_run(step.failed_run);
+    for (const JobTask& task : step.tasks) {
+      wire::StoredTask* stored_task = stored_step->add_tasks();
+      stored_task->set_state(static_cast<std::uint32_t>(task.state));
+      stored_task->set_run(task.run);
+      stored_task->set_failures(task.failures);
+      stored_task->set_agent(task.agent);
+      stored_task->set_checkpoint(task.checkpoint);
+    }
+  }
+}
+
+StepState RestoreStep(const wire::StoredStep& stored) {
+  StepState step;
+  step.failed_run = stored.failed_run();
+  for (const wire::StoredTask& task : stored.tasks()) {
+    const auto state = static_cast<JobTaskState>(task.state());
+    step.tasks.push_back({.state = state,
+                          .run = task.run(),
+                          .failures = task.failures(),
+                          .agent = task.agent(),
+                          .checkpoint = task.checkpoint()});
+    step.done += state == JobTaskState::kDone ? 1 : 0;
+    step.waiting += state == JobTaskState::kWaiting ? 1 : 0;
+  }
+  return step;
+}
+
+}  // namespace
+
+wire::JobSnapshot JobTable::Save() const {
+  wire::JobSnapshot snapshot;
+  snapshot.set_group_time_ms(this->group_time);
+  snapshot.set_next_sequence(this->next_sequence);
+  for (const auto& [sequence, job] : this->job_table) {
+    wire::StoredJob* stored = snapshot.add_jobs();
+    *stored->mutable_spec() = job.spec;
+    stored->set_state(job.state);
+    stored->set_sequence(sequence);
+    stored->set_accepted_ms(job.accepted_ms);
+    stored->set_ended_ms(job.ended_ms);
+    stored->set_done_occurrences(job.done_occurrences);
+    for (const auto& [number, steps] : job.occurrences) {
+      wire::StoredOccurrence* occurrence = stored->add_occurrences();
+      occurrence->set_number(number);
+      SaveSteps(steps, occurrence);
+    }
+  }
+  for (const auto& [agent, worker] : this->worker_table) {
+    wire::StoredWorker* stored = snapshot.add_workers();
+    *stored->mutable_description() = worker.description;
+    stored->set_lost(worker.lost);
+    stored->set_acknowledged(worker.acknowledged);
+  }
+  return snapshot;
+}
+
+void JobTable::Restore(const wire::JobSnapshot& snapshot) {
+  *this = JobTable(this->mutations);
+  this->group_time = snapshot.group_time_ms();
+  this->next_sequence = std::max<std::uint64_t>(1, snapshot.next_sequence());
+  for (const wire::StoredWorker& stored : snapshot.workers()) {
+    JobWorker& worker = this->worker_table[stored.description().agent()];
+    worker.description = stored.description();
+    worker.lost = stored.lost();
+    worker.acknowledged = stored.acknowledged();
+  }
+  for (const wire::StoredJob& stored : snapshot.jobs())
+    this->RestoreJob(stored);
+}
+
+void JobTable::RestoreJob(const wire::StoredJob& stored) {
+  Job& job = this->job_table[stored.sequence()];
+  job.spec = stored.spec();
+  job.state = stored.state();
+  job.sequence = stored.sequence();
+  job.accepted_ms = stored.accepted_ms();
+  job.ended_ms = stored.ended_ms();
+  job.done_occurrences = stored.done_occurrences();
+  this->sequence_of_id[job.spec.id()] = job.sequence;
+  for (const wire::StoredOccurrence& occurrence : stored.occurrences()) {
+    std::vector<StepState>& steps = job.occurrences[occurrence.number()];
+    for (const wire::StoredStep& step : occurrence.steps())
+      steps.push_back(RestoreStep(step));
+  }
+  if (!job.IsOpen())
+    this->ended.insert(job.sequence);
+  else if (job.spec.repeat_count() >
+           job.done_occurrences + job.occurrences.size())
+    this->timed.insert(job.sequence);
+  if (job.state == wire::JOB_STATE_PENDING && job.spec.repeat_count() == 0)
+    this->pending.insert(job.sequence);
+  for (const auto& [number, steps] : job.occurrences)
+    this->RestoreRuns(job, number);
+}
+
+void JobTable::RestoreRuns(Job& job, std::uint32_t number) {
+  const std::vector<StepState>& steps = job.occurrences.at(number);
+  for (std::uint32_t step = 0; step < steps.size(); ++step) {
+    const StepKey key{
+        .sequence = job.sequence, .occurrence = number, .step = step};
+    for (std::uint32_t index = 0; index < steps[step].tasks.size(); ++index) {
+      const JobTask& task = steps[step].tasks[index];
+      if (task.state != JobTaskState::kAssigned)
+        continue;
+      JobWorker& worker = this->worker_table[task.agent];
+      worker.runs.insert({.step = key, .index = index});
+      this->AddUse(worker, this->Step(key), true);
+      job.assigned += 1;
+    }
+  }
+  this->UpdateReady(job, number);
+}
+
+}  // namespace savoryring
--- a/src/libplacement/control_state.cc
+++ b/src/libplacement/control_state.cc
@@ -54,6 +54,8 @@
       return {};
     case wire::Command::kDecideTask:
       return this->ApplyDecideTask(command.decide_task());
+    case wire::Command::kJobCommand:
+      return {.code = this->job_table.Apply(command.job_command()).code};
     case wire::Command::BODY_NOT_SET:
       return {};
   }
@@ -67,7 +69,9 @@
   const ResultCode code =
       this->estate_state.Apply({.version = command.version(),
                                 .request_id = command.request_id(),
-                                .text = command.text()});
+                                .text = command.text(),
+                                .highest_wins = command.highest_wins(),
+                                .source = command.source()});
   if (this->estate_state.revision() != before)
     this->FollowEstate();
   return {.code = code};
@@ -390,6 +394,7 @@
 wire::ControlSnapshot ControlState::Save() const {
   wire::ControlSnapshot snapshot;
   *snapshot.mutable_estate() = this->estate_state.Save();
+  *snapshot.mutable_jobs() = this->job_table.Save();
   for (const auto& [id, task] : this->task_records)
     *snapshot.add_tasks() = task;
   for (const auto& [id, worker] : this->worker_states)
@@ -407,6 +412,7 @@
 
 void ControlState::Restore(const wire::ControlSnapshot& snapshot) {
   this->estate_state.Restore(snapshot.estate());
+  this->job_table.Restore(snapshot.jobs());
   this->task_records.clear();
   for (const wire::TaskRecord& task : snapshot.tasks())
     this->task_records[task.id()] = task;
--- a/src/libplacement/control_state.h
+++ b/src/libplacement/control_state.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "libestate/estate_state.h"
+#include "libjobs/job_table.h"
 #include "libplacement/claim_table.h"
 #include "libplacement/placement.pb.h"
 #include "libplacement/task_rules.h"
@@ -58,6 +59,8 @@
   }
   const std::set<PendingKey>& pending() const { return this->pending_tasks; }
   const ClaimTable& claims() const { return this->claim_table; }
+  const JobTable& jobs() const { return this->job_table; }
+  JobTable& mutable_jobs() { return this->job_table; }
   const wire::TaskRecord* FindTask(const std::string& id) const;
   const WorkerState* FindWorker(const std::string& id) const;
   /// Resources that the team's assigned tasks hold.
@@ -111,6 +114,7 @@
   std::uint64_t next_sequence = 1;
   EstateState estate_state;
   ClaimTable claim_table;
+  JobTable job_table;
   std::map<std::string, wire::TaskRecord> task_records;
   std::map<std::string, WorkerState> worker_states;
   std::map<std::string, std::string> task_of_key;
--- a/src/libreplication/replica.cc
+++ b/src/libreplication/replica.cc
@@ -168,7 +168,11 @@
   // existed could describe a peer that has since joined another group.
   this->hello_nonce = this->random();
   this->empty_peers.clear();
-  for (const std::string& id : this->options.listed) {
+  std::set<std::string> ids{this->options.listed.begin(),
+                            this->options.listed.end()};
+  if (!this->hinted_leader.empty())
+    ids.insert(this->hinted_leader);
+  for (const std::string& id : ids) {
     if (id == this->options.self.id)
       continue;
     wire::ReplicaMessage message = this->NewMessage({.id = id});
@@ -184,20 +188,27 @@
   wire::HelloReply* body = reply.mutable_hello_reply();
   body->set_nonce(message.hello().nonce());
   body->set_formed(this->role != ReplicaRole::kUnformed);
+  body->set_leader(this->leader);
   // A group whose log still is its first membership only may have lost its
   // Form message to this peer; the membership in the answer stands in for it.
   if (this->last_index() == 1)
     *body->mutable_membership() = this->CurrentMembership();
   this->SendTo(peer, std::move(reply));
-  const bool listed = std::ranges::find(this->options.listed, peer.id) !=
-                      this->options.listed.end();
-  if (this->IsLeader() && listed && !this->peers.contains(peer))
+  if (this->IsLeader() && this->Admits(peer) && !this->peers.contains(peer))
     this->StartProgress(peer, now);
 }
 
+bool Replica::Admits(const MemberId& peer) const {
+  return this->options.open_membership ||
+         std::ranges::find(this->options.listed, peer.id) !=
+             this->options.listed.end();
+}
+
 void Replica::ReceiveHelloReply(const wire::ReplicaMessage& message,
                                 TimePoint now) {
   const wire::HelloReply& reply = message.hello_reply();
+  if (this->options.open_membership && !reply.leader().empty())
+    this->hinted_leader = reply.leader();
   const bool current = this->role == ReplicaRole::kUnformed &&
                        reply.nonce() == this->hello_nonce;
   if (!current)
@@ -217,7 +228,8 @@
 void Replica::TryForm(TimePoint now) {
   const bool lowest =
       *std::ranges::min_element(this->options.listed) == this->options.self.id;
-  if (this->role != ReplicaRole::kUnformed || !lowest)
+  if (this->role != ReplicaRole::kUnformed || !lowest ||
+      !this->options.may_form)
     return;
   std::vector<MemberId> members{this->options.self};
   for (const auto& [id, member] : this->empty_peers)
@@ -313,6 +325,10 @@
       !mutations.skip_leader_stickiness &&
       (now < this->leader_contact_deadline || this->HasLease(now));
   const MemberId candidate = ToMemberId(message.from());
+  // A voter that was replaced while it was away does not know of it yet.
+  if (this->options.open_membership && this->IsLeader() &&
+      !this->peers.contains(candidate))
+    this->StartProgress(candidate, now);
   bool granted = !leader_alive && message.term() >= this->term() &&
                  this->IsUpToDate(request.last_index(), request.last_term());
   if (request.pre_vote()) {
--- a/src/libreplication/replica.h
+++ b/src/libreplication/replica.h
@@ -32,6 +32,13 @@
   Milliseconds heartbeat{80};
   Milliseconds election{400};  ///< Least election timeout.
   std::uint64_t seed = 0;
+  /// Whether an empty disk may help to form a new group.
+  bool may_form = true;
+  /// Whether replicas that are not listed may join, replace a voter that was
+  /// not heard for `replace_after`, and grow the group to `most_voters`.
+  bool open_membership = false;
+  std::size_t most_voters = 5;
+  Milliseconds replace_after{6000};
   ReplicaMutations mutations;
 };
 
@@ -170,7 +177,12 @@
   void StoreEntries(const wire::AppendRequest& request);
   void AdvanceCommit();
   void DeliverCommitted();
-  void ReplaceLostDisks();
+  void ReplaceLostDisks(TimePoint now);
+  bool AdmitLearner(const MemberId& learner,
+                    std::vector<MemberId> members,
+                    TimePoint now);
+  std::size_t CountReadyLearners() const;
+  bool Admits(const MemberId& peer) const;
   void ProposeMembership(const std::vector<MemberId>& voters);
   void StartProgress(const MemberId& member, TimePoint now);
   void UpdateRole();
@@ -210,6 +222,7 @@
   TimePoint heartbeat_deadline;
   TimePoint hello_deadline;
   std::uint64_t hello_nonce = 0;
+  std::string hinted_leader;  // whom a peer follows, while this one does not
   std::map<std::string, MemberId> empty_peers;
   std::set<MemberId> votes;
   std::map<MemberId, Progress> peers;
--- a/src/libreplication/replica_leader.cc
+++ b/src/libreplication/replica_leader.cc
@@ -28,7 +28,7 @@
   }
   if (now >= this->heartbeat_deadline)
     this->Broadcast(now);
-  this->ReplaceLostDisks();
+  this->ReplaceLostDisks(now);
 }
 
 void Replica::Broadcast(TimePoint now) {
@@ -113,7 +113,7 @@
   }
   progress.next = std::max(progress.next, progress.match + 1);
   this->AdvanceCommit();
-  this->ReplaceLostDisks();
+  this->ReplaceLostDisks(now);
 }
 
 void Replica::AppendOwn(wire::LogEntry entry) {
@@ -158,7 +158,7 @@
 // A disk that was lost comes back empty under a new incarnation. Once it has
 // caught up, the old incarnation leaves and the new one enters, by two
 // committed changes of one voter each, so that successive majorities overlap.
-void Replica::ReplaceLostDisks() {
+void Replica::ReplaceLostDisks(TimePoint now) {
   const bool settled = this->IsLeader() &&
                        this->MembershipIndex() <= this->commit &&
                        this->commit >= this->term_start_index;
@@ -176,12 +176,53 @@
       members.erase(old);
       this->ProposeMembership(members);
       this->peers.erase(lost);
-    } else {
-      members.push_back(member);
-      this->ProposeMembership(members);
+      return;
     }
-    return;
+    if (this->AdmitLearner(member, members, now))
+      return;
+  }
+}
+
+// A learner under a new id takes the place of a voter that is away for long,
+// or makes the group larger. Returns whether a change was proposed.
+bool Replica::AdmitLearner(const MemberId& learner,
+                           std::vector<MemberId> members,
+                           TimePoint now) {
+  if (!this->options.open_membership) {
+    members.push_back(learner);
+    this->ProposeMembership(members);
+    return true;
   }
+  const auto away = std::ranges::find_if(members, [&](const MemberId& voter) {
+    const auto found = this->peers.find(voter);
+    return voter != this->options.self && found != this->peers.end() &&
+           now > found->second.heard + this->options.replace_after;
+  });
+  if (away != members.end()) {
+    const MemberId lost = *away;
+    members.erase(away);
+    this->ProposeMembership(members);
+    this->peers.erase(lost);
+    return true;
+  }
+  // An even number of voters bears no more losses than one less.
+  const bool makes_odd = members.size() % 2 == 0;
+  const bool grows = members.size() + 2 <= this->options.most_voters &&
+                     this->CountReadyLearners() >= 2;
+  if (!makes_odd && !grows)
+    return false;
+  members.push_back(learner);
+  this->ProposeMembership(members);
+  return true;
+}
+
+std::size_t Replica::CountReadyLearners() const {
+  const std::vector<MemberId> members = this->voters();
+  const auto count = std::ranges::count_if(this->peers, [&](const auto& item) {
+    return item.second.match >= this->commit && item.second.match > 0 &&
+           std::ranges::find(members, item.first) == members.end();
+  });
+  return static_cast<std::size_t>(count);
 }
 
 void Replica::ProposeMembership(const std::vector<MemberId>& voters) {
--- a/src/libtransport/control_client.cc
+++ b/src/libtransport/control_client.cc
@@ -14,7 +14,7 @@
 }  // namespace
 
 ControlClient::ControlClient(ControlClientOptions options)
-    : options(std::move(options)) {}
+    : options(std::move(options)), finder(this->options.links) {}
 
 void ControlClient::OnCall(wire::ControlCall call,
                            TimePoint deadline,
@@ -23,6 +23,7 @@
   OpenCall& open = this->calls[id];
   open.call = std::move(call);
   open.deadline = deadline;
+  open.refuse_deadline = now + this->options.refuse_after;
   this->Ask(open, now);
 }
 
@@ -42,10 +43,11 @@
     this->calls.erase(found);
     return;
   }
+  open.unsure = open.unsure || reply.proposed();
   if (reply.leader_link().empty() || reply.leader_link() == link) {
     // No leader there now: another replica may know more in a moment.
     if (this->leader_link() == link)
-      this->Rotate();
+      this->finder.Rotate();
     open.answer_deadline = now + kNoLeaderWait;
     open.asked.clear();
     return;
@@ -57,16 +59,19 @@
 void ControlClient::OnTick(TimePoint now) {
   std::vector<std::uint64_t> expired;
   for (auto& [id, open] : this->calls) {
-    if (now >= open.deadline) {
+    const bool waits = !open.asked.empty() && now < open.answer_deadline;
+    const bool refuse = !open.unsure && !waits && now >= open.refuse_deadline;
+    if (now >= open.deadline || refuse) {
       expired.push_back(id);
       continue;
     }
     if (now < open.answer_deadline)
       continue;
     if (!open.asked.empty()) {
+      open.unsure = true;
       this->effects.emplace_back(ReplaceControlConnection{.link = open.asked});
       if (this->leader_link() == open.asked)
-        this->Rotate();
+        this->finder.Rotate();
     }
     this->Ask(open, now);
   }
@@ -74,9 +79,11 @@
     wire::ControlReply reply;
     reply.set_call_id(id);
     // Reads change nothing; anything else may still be committed.
-    const bool read = this->calls.at(id).call.method() == "GET";
+    const OpenCall& open = this->calls.at(id);
+    const bool surely_not =
+        open.call.method() == "GET" || (!open.unsure && open.asked.empty());
     const ResultCode code =
-        read ? ResultCode::kNoLeader : ResultCode::kNotCommittedInTime;
+        surely_not ? ResultCode::kNoLeader : ResultCode::kNotCommittedInTime;
     reply.set_status(static_cast<std::uint32_t>(InfoOf(code).http_status));
     reply.set_result_code(static_cast<std::uint32_t>(NumberOf(code)));
     reply.set_body(ResultBody(code, ""));
@@ -86,11 +93,7 @@
 }
 
 void ControlClient::OnLeaderHint(const std::string& link) {
-  const auto found = std::ranges::find(this->options.links, link);
-  if (found != this->options.links.end()) {
-    this->current = static_cast<std::size_t>(
-        std::distance(this->options.links.begin(), found));
-  }
+  this->finder.OnHint(link);
 }
 
 std::vector<ControlClientEffect> ControlClient::TakeEffects() {
@@ -105,8 +108,4 @@
   this->effects.emplace_back(SendCall{.link = open.asked, .call = open.call});
 }
 
-void ControlClient::Rotate() {
-  this->current = (this->current + 1) % this->options.links.size();
-}
-
 }  // namespace savoryring
--- a/src/libtransport/control_client.h
+++ b/src/libtransport/control_client.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "libtransport/leader_finder.h"
 #include "libtransport/link.pb.h"
 #include "savoryring/time.h"
 
@@ -18,6 +19,8 @@
 struct ControlClientOptions {
   std::vector<std::string> links;  ///< Of all replicas.
   Milliseconds patience{400};      ///< Wait before another replica is asked.
+  /// A call that surely no leader has taken is given up after this.
+  Milliseconds refuse_after{3'600'000};
 };
 
 struct SendCall {
@@ -49,8 +52,10 @@
 
   std::vector<ControlClientEffect> TakeEffects();
   /// The replica believed to lead.
-  const std::string& leader_link() const {
-    return this->options.links[this->current];
+  const std::string& leader_link() const { return this->finder.current(); }
+  /// Adds replicas that new settings name.
+  void AddLinks(const std::vector<std::string>& links) {
+    this->finder.Add(links);
   }
 
  private:
@@ -59,12 +64,13 @@
     TimePoint deadline;
     TimePoint answer_deadline;
     std::string asked;
+    TimePoint refuse_deadline;
+    bool unsure = false;  // some leader may have taken it
   };
   void Ask(OpenCall& open, TimePoint now);
-  void Rotate();
 
   ControlClientOptions options;
-  std::size_t current = 0;
+  LeaderFinder finder;
   std::map<std::uint64_t, OpenCall> calls;
   std::vector<ControlClientEffect> effects;
 };
--- /dev/null
+++ b/src/savoryringd/agent_duty.cc
@@ -0,0 +1,177 @@
+#include "savoryringd/agent_duty.h"
+
+#include <utility>
+
+#include "libbase/events.h"
+
+namespace savoryring {
+namespace {
+
+// Calls to the worker at one time, beside the one that waits for news.
+constexpr std::size_t kCallThreads = 3;
+// Longest wait of an announcement for the loop.
+constexpr Milliseconds kAskWait{500};
+constexpr Milliseconds kPublishInterval{1000};
+// A leader that has not answered a report for this long is given up.
+constexpr Milliseconds kLeaderPatience{400};
+
+WorkerAgentOptions MakeOptions(const Settings& settings) {
+  return {.agent = settings.id, .hold = settings.timing.worker_hold};
+}
+
+}  // namespace
+
+AgentDuty::AgentDuty(Process& process, std::unique_ptr<LocalWorker> worker)
+    : process(&process),
+      worker(std::move(worker)),
+      link({.bind_address = process.settings().agent_link,
+            .sender = process.settings().id,
+            .incarnation = process.incarnation()}),
+      finder(ControlLinksOf(process.settings())),
+      core(MakeOptions(process.settings()), BootClock::now()),
+      call_pool(kCallThreads),
+      watch_pool(1),
+      loop(this->link, *this) {}
+
+AgentDuty::~AgentDuty() {
+  this->AgentDuty::Stop();
+}
+
+void AgentDuty::Start() {
+  this->loop.Start();
+}
+
+void AgentDuty::Stop() {
+  this->loop.Stop();
+}
+
+bool AgentDuty::Announce(const wire::JobWorkerDescription& description) {
+  const auto taken = this->loop.Ask<bool>(
+      [this, description] {
+        return this->core.OnAnnounced(description, BootClock::now());
+      },
+      BootClock::now() + kAskWait);
+  return taken.has_value();
+}
+
+bool AgentDuty::Left(const std::string& instance) {
+  const auto taken = this->loop.Ask<bool>(
+      [this, instance] {
+        this->core.OnLeft(instance, BootClock::now());
+        return true;
+      },
+      BootClock::now() + kAskWait);
+  return taken.has_value();
+}
+
+void AgentDuty::OnMessage(const Received& message, TimePoint now) {
+  if (message.envelope.kind() == wire::AGENT_ORDERS)
+    this->OnOrders(message, now);
+}
+
+void AgentDuty::OnOrders(const Received& message, TimePoint now) {
+  wire::AgentOrders orders;
+  if (!orders.ParseFromString(message.envelope.body()))
+    return;
+  if (message.origin.address == this->finder.current())
+    this->answer_deadline = kNever;
+  if (orders.lease_ms() == 0 && orders.term() == 0) {
+    // Not the leader. A hint is followed at once, with a fresh report.
+    const bool known = !orders.leader_link().empty() &&
+                       orders.leader_link() != message.origin.address;
+    if (known && orders.leader_link() != this->finder.current())
+      this->finder.OnHint(orders.leader_link());
+    else if (!known && message.origin.address == this->finder.current())
+      this->finder.Rotate();
+    this->heard = false;
+    return;
+  }
+  if (!this->heard) {
+    LogEvent(Event::kLeaderFound, {{"leader", message.origin.address},
+                                   {"term", std::to_string(orders.term())}});
+  }
+  this->heard = true;
+  this->core.OnOrders(orders, now);
+}
+
+void AgentDuty::OnTick(TimePoint now) {
+  this->FollowSettings();
+  if (now >= this->answer_deadline) {
+    if (this->heard) {
+      LogEvent(Event::kLeaderSilent, {{"leader", this->finder.current()}});
+    }
+    this->heard = false;
+    this->answer_deadline = kNever;
+    this->link.Replace(this->finder.current());
+    this->finder.Rotate();
+  }
+  if (now < this->publish_deadline)
+    return;
+  this->publish_deadline = now + kPublishInterval;
+  Metrics& metrics = this->process->metrics();
+  PublishLinkCounters("agent_link", this->link.counters(), metrics);
+  metrics.SetGauge("agent_has_lease", this->core.HasLease(now) ? 1 : 0);
+  metrics.SetGauge("agent_fill_pace_percent", this->core.pace());
+}
+
+void AgentDuty::FollowSettings() {
+  if (this->settings_version == this->process->settings_version())
+    return;
+  this->settings_version = this->process->settings_version();
+  this->finder.Add(this->process->control_links());
+}
+
+void AgentDuty::OnBatchEnd(TimePoint now) {
+  this->core.OnTick(now);
+  this->RunEffects(now);
+}
+
+void AgentDuty::RunEffects(TimePoint now) {
+  for (AgentEffect& effect : this->core.TakeEffects()) {
+    if (auto* report = std::get_if<SendReport>(&effect)) {
+      this->Send(std::move(*report), now);
+    } else if (const auto* start = std::get_if<StartCall>(&effect)) {
+      this->call_pool.Run([this, call = *start] {
+        const CallOutcome outcome = this->worker->Start(call);
+        this->loop.Post([this, call, outcome] {
+          this->core.OnStarted(call, outcome, BootClock::now());
+        });
+      });
+    } else if (const auto* stop = std::get_if<StopCall>(&effect)) {
+      this->call_pool.Run([this, call = *stop] {
+        const CallOutcome outcome = this->worker->Stop(call);
+        this->loop.Post([this, call, outcome] {
+          this->core.OnStopped(call, outcome, BootClock::now());
+        });
+      });
+    } else if (const auto* pace = std::get_if<PaceCall>(&effect)) {
+      LogEvent(Event::kJobRunPaced,
+               {{"task", pace->task.job()},
+                {"percent", std::to_string(pace->percent)}});
+      this->call_pool.Run([this, call = *pace] {
+        const CallOutcome outcome = this->worker->Pace(call);
+        this->loop.Post(
+            [this, call, outcome] { this->core.OnPaced(call, outcome); });
+      });
+    } else {
+      this->watch_pool.Run([this, call = std::get<WatchCall>(effect)] {
+        WorkerListing listing;
+        const CallOutcome outcome = this->worker->Watch(call, listing);
+        this->loop.Post([this, call, outcome, listing = std::move(listing)] {
+          this->core.OnWatched(call, outcome, listing, BootClock::now());
+        });
+      });
+    }
+  }
+}
+
+void AgentDuty::Send(SendReport effect, TimePoint now) {
+  effect.report.set_process(this->process->settings().id);
+  effect.report.set_process_incarnation(this->process->incarnation());
+  this->link.Send(this->finder.current(), wire::AGENT_REPORT,
+                  effect.report.SerializeAsString());
+  if (this->answer_deadline == kNever || this->answer_deadline == TimePoint())
+    this->answer_deadline = now + kLeaderPatience;
+}
+
+}  // namespace savoryring
--- a/src/savoryringd/control_caller.cc
+++ b/src/savoryringd/control_caller.cc
@@ -13,13 +13,6 @@
 // the deadline reaches it.
 constexpr Milliseconds kAnswerGrace{500};
 
-std::vector<std::string> LinksOf(const std::vector<ControlPeer>& controls) {
-  std::vector<std::string> links;
-  for (const ControlPeer& peer : controls)
-    links.push_back(peer.link);
-  return links;
-}
-
 HttpResponse ToHttpResponse(const wire::ControlReply& reply) {
   HttpResponse response =
       MakeJsonResponse(static_cast<int>(reply.status()), reply.body());
@@ -32,9 +25,8 @@
 
 }  // namespace
 
-ControlCaller::ControlCaller(Link& link,
-                             const std::vector<ControlPeer>& controls)
-    : link(&link), client({.links = LinksOf(controls)}) {}
+ControlCaller::ControlCaller(Link& link, ControlClientOptions options)
+    : link(&link), client(std::move(options)) {}
 
 void ControlCaller::Call(wire::ControlCall call,
                          TimePoint deadline,
@@ -69,25 +61,36 @@
   }
 }
 
-HttpResponse ControlCaller::Forward(const HttpRequest& request,
-                                    TimePoint deadline,
-                                    DutyLoop& loop) {
-  wire::ControlCall call;
-  call.set_method(request.method);
-  call.set_path(request.path);
-  call.set_body(request.body);
+wire::ControlReply ControlCaller::CallAndWait(wire::ControlCall call,
+                                              TimePoint deadline,
+                                              DutyLoop& loop) {
   auto promise = std::make_shared<std::promise<wire::ControlReply>>();
   std::future<wire::ControlReply> answer = promise->get_future();
-  loop.Post([this, call, promise, deadline] {
+  loop.Post([this, call = std::move(call), promise, deadline] {
     this->Call(call, deadline, BootClock::now(),
                [promise](const wire::ControlReply& reply) {
                  promise->set_value(reply);
                });
   });
   const auto wait = RemainingTime(BootClock::now(), deadline) + kAnswerGrace;
-  if (answer.wait_for(wait) != std::future_status::ready)
-    return MakeResultResponse(ResultCode::kNotCommittedInTime, "");
-  return ToHttpResponse(answer.get());
+  if (answer.wait_for(wait) == std::future_status::ready)
+    return answer.get();
+  wire::ControlReply late;
+  const ResultCode code = ResultCode::kNotCommittedInTime;
+  late.set_status(static_cast<std::uint32_t>(InfoOf(code).http_status));
+  late.set_result_code(static_cast<std::uint32_t>(NumberOf(code)));
+  late.set_body(ResultBody(code, ""));
+  return late;
+}
+
+HttpResponse ControlCaller::Forward(const HttpRequest& request,
+                                    TimePoint deadline,
+                                    DutyLoop& loop) {
+  wire::ControlCall call;
+  call.set_method(request.method);
+  call.set_path(request.path);
+  call.set_body(request.body);
+  return ToHttpResponse(this->CallAndWait(std::move(call), deadline, loop));
 }
 
 void ControlCaller::Deliver(const wire::ControlReply& reply) {
--- a/src/savoryringd/control_caller.h
+++ b/src/savoryringd/control_caller.h
@@ -23,7 +23,7 @@
   using Function = std::function<void(const wire::ControlReply&)>;
 
   /// `link` must outlive the caller.
-  ControlCaller(Link& link, const std::vector<ControlPeer>& controls);
+  ControlCaller(Link& link, ControlClientOptions options);
 
   /// Calls the leader; `function` gets its reply, or an error at `deadline`.
   void Call(wire::ControlCall call,
@@ -31,10 +31,18 @@
             TimePoint now,
             Function function);
   void OnReply(const Received& message, TimePoint now);
+  void AddLinks(const std::vector<std::string>& links) {
+    this->client.AddLinks(links);
+  }
   void OnTick(TimePoint now);
   /// Sends and delivers what the calls above brought about.
   void RunEffects();
 
+  /// Calls from another thread and waits for the reply until `deadline`.
+  wire::ControlReply CallAndWait(wire::ControlCall call,
+                                 TimePoint deadline,
+                                 DutyLoop& loop);
+
   /// Passes an HTTP request on and waits for the reply. Called on a thread of
   /// the HTTP server; `loop` is the duty's.
   HttpResponse Forward(const HttpRequest& request,
--- a/src/savoryringd/control_duty.cc
+++ b/src/savoryringd/control_duty.cc
@@ -1,6 +1,7 @@
 #include "savoryringd/control_duty.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "libbase/events.h"
@@ -30,16 +31,32 @@
 ControlOptions MakeOptions(const Settings& settings,
                            const MemberId& self,
                            std::uint64_t seed) {
+  const bool found = settings.discovery.has_value();
   return {.replica = {.self = self,
-                      .listed = IdsOf(settings.controls),
+                      .listed = found ? ControlLinksOf(settings)
+                                      : IdsOf(settings.controls),
                       .heartbeat = settings.timing.replica_heartbeat,
                       .election = settings.timing.election,
-                      .seed = seed},
+                      .seed = seed,
+                      .may_form = !found || settings.discovery->bootstrap,
+                      .open_membership = found},
           .scheduler = {.watch = {.lease = settings.timing.worker_lease}},
+          .jobs = {.lease = settings.timing.agent_lease},
           .snapshot_after_entries = settings.limits.snapshot_after_entries,
           .replica_links = LinksById(settings.controls)};
 }
 
+// A replica that nobody lists is named by its link.
+std::string ReplicaId(const Settings& settings) {
+  return settings.discovery ? settings.control->link : settings.id;
+}
+
+std::int64_t UnixMilliseconds() {
+  return std::chrono::duration_cast<Milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 bool IsReply(const wire::ReplicaMessage& message) {
   return message.has_hello_reply() || message.has_vote_reply() ||
          message.has_append_reply();
@@ -50,7 +67,7 @@
 ControlDuty::ControlDuty(Process& process)
     : process(&process),
       store(process.settings().data_folder + "/control",
-            process.settings().id,
+            ReplicaId(process.settings()),
             process.Random()),
       link({.bind_address = process.settings().control->link,
             .sender = process.settings().id,
@@ -59,7 +76,7 @@
           MakeOptions(process.settings(), this->store.self(), process.Random()),
           this->store.TakeStored(),
           BootClock::now()),
-      caller(this->link, process.settings().controls),
+      caller(this->link, {.links = ControlLinksOf(process.settings())}),
       liveness(process.settings().timing.replica_heartbeat *
                kPatienceHeartbeats),
       replica_links(LinksById(process.settings().controls)),
@@ -77,6 +94,8 @@
 
 void ControlDuty::Start() {
   this->loop.Start();
+  if (this->process->settings().control->http.empty())
+    return;
   this->server = std::make_unique<HttpServer>(
       HttpServerOptions{
           .address = this->process->settings().control->http,
@@ -106,6 +125,11 @@
     return *common;
   const TimePoint deadline =
       RequestDeadline(request, kCallTimeout, BootClock::now());
+  return this->Forward(request, deadline);
+}
+
+HttpResponse ControlDuty::Forward(const HttpRequest& request,
+                                  TimePoint deadline) {
   return this->caller.Forward(request, deadline, this->loop);
 }
 
@@ -130,6 +154,9 @@
                        update.SerializeAsString());
       return;
     }
+    case wire::AGENT_REPORT:
+      this->OnAgentReport(message, now);
+      return;
     case wire::ESTATE_FETCH:
       this->OnEstateFetch(message);
       return;
@@ -163,6 +190,14 @@
   this->core.OnHeartbeat(heartbeat, message.envelope.incarnation(), now);
 }
 
+void ControlDuty::OnAgentReport(const Received& message, TimePoint now) {
+  wire::AgentReport report;
+  if (!report.ParseFromString(message.envelope.body()))
+    return;
+  this->agent_origins[report.worker().agent()] = message.origin;
+  this->core.OnAgentReport(report, now);
+}
+
 void ControlDuty::OnEstateFetch(const Received& message) {
   wire::EstateFetch fetch;
   if (!fetch.ParseFromString(message.envelope.body()))
@@ -189,7 +224,7 @@
 }
 
 void ControlDuty::OnTick(TimePoint now) {
-  this->core.OnTick(now);
+  this->core.OnTick(now, UnixMilliseconds());
   this->caller.OnTick(now);
   for (const std::string& address : this->liveness.TakeSilent(now))
     this->link.Replace(address);
@@ -242,6 +277,12 @@
         this->link.Reply(origin->second, wire::WORKER_ORDERS,
                          orders->orders.SerializeAsString());
       }
+    } else if (const auto* agent = std::get_if<SendAgentOrders>(&effect)) {
+      const auto origin = this->agent_origins.find(agent->agent);
+      if (origin != this->agent_origins.end()) {
+        this->link.Reply(origin->second, wire::AGENT_ORDERS,
+                         agent->orders.SerializeAsString());
+      }
     } else if (const auto* reply = std::get_if<ReplyToCall>(&effect)) {
       const auto found = this->tickets.find(reply->ticket);
       if (found == this->tickets.end())
@@ -264,11 +305,18 @@
       this->link.Reply(origin->second, wire::REPLICA_MESSAGE, body);
     return;
   }
-  const auto address = this->replica_links.find(outgoing.to);
-  if (address == this->replica_links.end())
+  const std::string address = this->LinkOfReplica(outgoing.to);
+  if (address.empty())
     return;
-  this->link.Send(address->second, wire::REPLICA_MESSAGE, body);
-  this->liveness.OnSent(address->second, now);
+  this->link.Send(address, wire::REPLICA_MESSAGE, body);
+  this->liveness.OnSent(address, now);
+}
+
+std::string ControlDuty::LinkOfReplica(const std::string& id) const {
+  const auto found = this->replica_links.find(id);
+  if (found != this->replica_links.end())
+    return found->second;
+  return this->process->settings().discovery ? id : "";
 }
 
 void ControlDuty::NoteProcess(const std::string& duty,
--- a/src/savoryringd/control_duty.h
+++ b/src/savoryringd/control_duty.h
@@ -32,6 +32,9 @@
   bool IsIdle() override;
   void Stop() override;
 
+  /// Passes an operator's request to the leader. Thread safe.
+  HttpResponse Forward(const HttpRequest& request, TimePoint deadline);
+
  private:
   using ReplyFunction = std::function<void(const wire::ControlReply&)>;
 
@@ -42,6 +45,7 @@
   HttpResponse OnHttp(const HttpRequest& request);
   void OnReplicaMessage(const Received& message, TimePoint now);
   void OnHeartbeat(const Received& message, TimePoint now);
+  void OnAgentReport(const Received& message, TimePoint now);
   void OnEstateFetch(const Received& message);
   void OnControlCall(const Received& message, TimePoint now);
   void SendReplicaMessage(const OutgoingReplicaMessage& outgoing,
@@ -49,6 +53,7 @@
   void Flush(TimePoint now);
   void Store(const ReplicaOutput& output);
   void RunEffects(TimePoint now);
+  std::string LinkOfReplica(const std::string& id) const;
   void NoteProcess(const std::string& duty,
                    const wire::Envelope& envelope,
                    TimePoint now);
@@ -65,6 +70,7 @@
   std::map<std::string, std::string> replica_links;
   std::map<std::string, Origin> replica_origins;
   std::map<std::string, Origin> worker_origins;
+  std::map<std::string, Origin> agent_origins;
   std::atomic<bool> ready{false};
   std::atomic<bool> leaving{false};
   DutyLoop loop;
--- a/src/savoryringd/entry_duty.cc
+++ b/src/savoryringd/entry_duty.cc
@@ -52,7 +52,7 @@
               .acknowledge = process.settings().timing.acknowledge,
               .seed = process.Random()}),
       estate(this->link),
-      control(this->link, process.settings().controls),
+      control(this->link, {.links = ControlLinksOf(process.settings())}),
       serve_deadline(BootClock::now() + kServeDelay),
       loop(this->link, *this) {}
 
--- /dev/null
+++ b/src/savoryringd/local_worker.h
@@ -0,0 +1,22 @@
+/// The platform's worker on the same VM, as an agent uses it for jobs.
+#ifndef SAVORYRING_SAVORYRINGD_LOCAL_WORKER_H_
+#define SAVORYRING_SAVORYRINGD_LOCAL_WORKER_H_
+
+#include "libjobs/worker_agent.h"
+
+namespace savoryring {
+
+/// Calls block until the worker answers or a timeout passes. Thread safe.
+class LocalWorker {
+ public:
+  virtual ~LocalWorker() = default;
+  virtual CallOutcome Start(const StartCall& call) = 0;
+  virtual CallOutcome Stop(const StopCall& call) = 0;
+  /// `listing` is set where the outcome is kDone.
+  virtual CallOutcome Watch(const WatchCall& call, WorkerListing& listing) = 0;
+  virtual CallOutcome Pace(const PaceCall& call) = 0;
+};
+
+}  // namespace savoryring
+
+#endif  // SAVORYRING_SAVORYRINGD_LOCAL_WORKER_H_
--- a/src/savoryringd/main.cc
+++ b/src/savoryringd/main.cc
@@ -7,9 +7,11 @@
 #include <algorithm>
 #include <iostream>
 #include <memory>
+#include <ranges>
 #include <thread>
 #include <vector>
 
+#include "adapter.h"
 #include "libbase/command_line.h"
 #include "libbase/events.h"
 #include "savoryring/result.h"
@@ -18,6 +20,7 @@
 #include "savoryringd/endpoint_duty.h"
 #include "savoryringd/entry_duty.h"
 #include "savoryringd/process.h"
+#include "savoryringd/settings_watch.h"
 
 DEFINE_string(settings, "", "settings file of this process (JSON)");
 
@@ -31,6 +34,7 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   signal(SIGPIPE, SIG_IGN);
   return signals;
@@ -50,6 +54,8 @@
   }
   if (settings.entry)
     duties.push_back(std::make_unique<EntryDuty>(process));
+  if (settings.platform)
+    platform::AddDuties(process, duties);
   return duties;
 }
 
@@ -80,10 +86,11 @@
     for (const auto& duty : duties)
       duty->Start();
     LogEvent(Event::kStarted, {{"settings", path}});
-    int received = 0;
-    sigwait(&signals, &received);
+    SettingsWatch watch(path, process);
+    watch.RunUntilEnd(signals);
     Drain(duties, settings.timing);
-    for (const auto& duty : duties)
+    // Fronts stand behind the duties that they call, and stop first.
+    for (const auto& duty : std::views::reverse(duties))
       duty->Stop();
   } catch (const Error& failure) {
     const Event event = failure.code() == ResultCode::kDamagedLog
@@ -102,7 +109,8 @@
 int main(int argc, char** argv) {
   constexpr const char* kUsage =
       "usage: savoryringd --settings=FILE\n"
-      "Runs the duties of one savoryring process until SIGTERM.\n";
+      "Runs the duties of one savoryring process until SIGTERM. SIGHUP, or a\n"
+      "change of the file, makes it read its seeds again.\n";
   try {
     const std::vector<std::string> words =
         savoryring::ReadFlags({argv + 1, argv + argc});
--- a/src/savoryringd/process.cc
+++ b/src/savoryringd/process.cc
@@ -24,9 +24,23 @@
 Process::Process(Settings settings)
     : process_settings(std::move(settings)),
       start_number(WallClockNanoseconds()),
+      links(ControlLinksOf(this->process_settings)),
       span_writer(this->process_settings.trace_file, this->process_settings.id),
       random(RandomSeed()) {}
 
+void Process::Reload(const Settings& fresh) {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->links = ControlLinksOf(fresh);
+  }
+  this->reloads += 1;
+}
+
+std::vector<std::string> Process::control_links() {
+  const std::lock_guard lock(this->mutex);
+  return this->links;
+}
+
 std::uint64_t Process::Random() {
   const std::lock_guard lock(this->mutex);
   return this->random();
--- a/src/savoryringd/process.h
+++ b/src/savoryringd/process.h
@@ -2,11 +2,13 @@
 #ifndef SAVORYRING_SAVORYRINGD_PROCESS_H_
 #define SAVORYRING_SAVORYRINGD_PROCESS_H_
 
+#include <atomic>
 #include <cstdint>
 #include <mutex>
 #include <optional>
 #include <pcg_random.hpp>
 #include <string>
+#include <vector>
 
 #include "libbase/metrics.h"
 #include "libbase/trace.h"
@@ -26,12 +28,20 @@
   std::uint64_t incarnation() const { return this->start_number; }
   Metrics& metrics() { return this->process_metrics; }
   SpanWriter& spans() { return this->span_writer; }
+  /// Takes the part of new settings that may change while the process runs:
+  /// the seeds of the controls.
+  void Reload(const Settings& fresh);
+  /// Counts reloads; a duty compares it with what it has followed.
+  std::uint64_t settings_version() const { return this->reloads; }
+  std::vector<std::string> control_links();
   std::uint64_t Random();
   TraceContext NewSpan(const std::string& traceparent);
 
  private:
   Settings process_settings;
   std::uint64_t start_number;
+  std::atomic<std::uint64_t> reloads{0};
+  std::vector<std::string> links;
   Metrics process_metrics;
   SpanWriter span_writer;
   std::mutex mutex;
