--- a/src/libcontrol/control_core.cc
+++ b/src/libcontrol/control_core.cc
@@ -258,7 +258,11 @@
     this->Note(Event::kBecameLeader, "term " + std::to_string(term));
   }
   this->was_leader = leads;
-  if (leads && !this->job_scheduler && this->log_replica.IsCaughtUp()) {
+  // What is committed may not be applied yet: a scheduler that began with an
+  // older table would take its workers for lost.
+  const bool applied_all = this->applied >= this->log_replica.commit_index();
+  if (leads && !this->job_scheduler && applied_all &&
+      this->log_replica.IsCaughtUp()) {
     this->job_scheduler.emplace(this->options.jobs, this->control_state.jobs(),
                                 this->log_replica.led_since());
     this->group_time_base = this->control_state.jobs().group_time_ms();
@@ -280,8 +284,9 @@
   this->settled = !output.NeedsStore() && output.committed.empty();
   if (output.committed.empty())
     return;
-  this->FollowLeadership();
+  // Events of entries that an earlier leader committed are not news.
   this->FollowJobEvents(now);
+  this->FollowLeadership();
   this->DecideJobs(now);
   this->CompactIfLong();
 }
--- /dev/null
+++ b/src/libcontrol/control_core_test.cc
@@ -0,0 +1,161 @@
+#include "libcontrol/control_core.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <array>
+#include <memory>
+
+namespace savoryring {
+namespace {
+
+// One control process with a disk that keeps what was stored.
+struct Node {
+  std::string id;
+  StoredReplica disk;
+  std::unique_ptr<ControlCore> core;
+  std::vector<std::string> lost_workers;
+};
+
+}  // namespace
+
+TEST_GROUP(ControlCore) {
+  TimePoint now = TimePoint(std::chrono::seconds(100));
+  std::array<Node, 3> nodes{Node{.id = "1"}, Node{.id = "2"}, Node{.id = "3"}};
+  std::uint64_t tickets = 0;
+  std::string reporting = "a";
+  wire::WorkerEnds ends;
+  std::map<std::uint64_t, wire::ControlReply> replies;
+
+  void Boot(Node & node, std::uint64_t seed) {
+    ControlOptions options;
+    options.replica.self = {.id = node.id, .incarnation = 1};
+    options.replica.listed = {"1", "2", "3"};
+    options.replica.seed = seed;
+    node.core = std::make_unique<ControlCore>(options, node.disk, this->now);
+  }
+  void BootAll() {
+    for (std::size_t i = 0; i < this->nodes.size(); ++i)
+      this->Boot(this->nodes[i], i + 1);
+  }
+  void Keep(Node & node, const ReplicaOutput& output) {
+    if (output.hard_state)
+      node.disk.hard_state = *output.hard_state;
+    for (const wire::LogEntry& entry : output.append) {
+      std::erase_if(node.disk.entries, [&entry](const wire::LogEntry& old) {
+        return old.index() >= entry.index();
+      });
+      node.disk.entries.push_back(entry);
+    }
+  }
+  void Flush(Node & node) {
+    while (true) {
+      const ReplicaOutput output = node.core->TakeOutput(this->now);
+      this->Keep(node, output);
+      node.core->OnStored(output, this->now);
+      for (const OutgoingReplicaMessage& outgoing : output.messages) {
+        for (Node& to : this->nodes) {
+          if (to.id == outgoing.to)
+            this->inboxes[to.id].push_back(outgoing.message);
+        }
+      }
+      if (node.core->IsSettled())
+        break;
+    }
+    for (const ControlEffect& effect : node.core->TakeEffects(this->now)) {
+      if (const auto* reply = std::get_if<ReplyToCall>(&effect))
+        this->replies[reply->ticket] = reply->reply;
+      if (const auto* note = std::get_if<NoteEvent>(&effect)) {
+        if (note->event == Event::kJobWorkerLost)
+          node.lost_workers.push_back(note->detail);
+      }
+    }
+  }
+  // One round of messages, reports and ticks, in the order of a busy batch:
+  // reports are handled after messages, before anything is applied.
+  void Step() {
+    this->now += Milliseconds(10);
+    for (Node& node : this->nodes) {
+      const auto inbox = std::move(this->inboxes[node.id]);
+      this->inboxes[node.id].clear();
+      for (const wire::ReplicaMessage& message : inbox)
+        node.core->OnReplicaMessage(message, this->now);
+      node.core->OnAgentReport(this->Report(), this->now);
+      node.core->OnTick(this->now);
+      this->Flush(node);
+    }
+  }
+  void Run(int steps) {
+    for (int i = 0; i < steps; ++i)
+      this->Step();
+  }
+  wire::AgentReport Report() {
+    wire::AgentReport report;
+    report.set_sent_ns(ToNanoseconds(this->now));
+    report.mutable_worker()->set_agent(this->reporting);
+    report.mutable_worker()->set_instance("i-1");
+    report.mutable_worker()->set_born_ms(1);
+    report.mutable_worker()->set_cpu_milli(4000);
+    report.mutable_worker()->set_service("desk");
+    *report.mutable_ends() = this->ends;
+    return report;
+  }
+  void Call(const std::string& method, const std::string& path,
+            const std::string& body) {
+    wire::ControlCall call;
+    call.set_method(method);
+    call.set_path(path);
+    call.set_body(body);
+    Node* leader = this->Leader();
+    CHECK(leader != nullptr);
+    leader->core->OnCall(call, ++this->tickets, this->now);
+    this->Run(20);
+    LONGS_EQUAL(200, this->replies[this->tickets].status());
+  }
+  // A job of one task that runs on "a" and is done.
+  void RunJob() {
+    this->Call("POST", "/estate",
+               R"({"version":1,"estate":{"services":[{"name":"desk"}],)"
+               R"("queues":[{"name":"q","host":"h","prefix":"/q/",)"
+               R"("service":"desk"}]}})");
+    wire::JobCall call;
+    call.set_host("h");
+    call.set_path("/q/j");
+    call.mutable_submit()->add_steps()->set_count(1);
+    this->Call("JOB", "", call.SerializeAsString());
+    wire::TaskEnd* end = this->ends.add_ends();
+    end->set_number(1);
+    end->mutable_task()->set_job("j");
+    end->set_run(1);
+    end->set_how(wire::RUN_END_DONE);
+    this->ends.set_up_to(1);
+    this->Run(50);
+    this->ends.Clear();
+  }
+  Node* Leader() {
+    for (Node& node : this->nodes) {
+      if (node.core->Serves(this->now))
+        return &node;
+    }
+    return nullptr;
+  }
+
+  std::map<std::string, std::vector<wire::ReplicaMessage>> inboxes;
+};
+
+TEST(ControlCore, ALeaderOfAStoredLogWaitsOutTheLeasesOfTheLast) {
+  this->BootAll();
+  this->Run(300);
+  this->RunJob();
+  CHECK(this->Leader()->core->state().jobs().Find("j") != nullptr);
+  CHECK(!this->Leader()->core->state().jobs().Find("j")->IsOpen());
+  this->inboxes.clear();
+  this->reporting = "b";
+  this->BootAll();
+  // Shorter than a lease: the worker beside "a" may still be at work.
+  this->Run(300);
+  CHECK(this->Leader() != nullptr);
+  for (const Node& node : this->nodes)
+    CHECK(node.lost_workers.empty());
+}
+
+}  // namespace savoryring
--- a/src/libjobs/job_scheduler.cc
+++ b/src/libjobs/job_scheduler.cc
@@ -17,6 +17,12 @@
 // How far a fill's place weighs a task that serves against free processors.
 constexpr std::int64_t kServingPenaltyMilli = 8000;
 
+// Fills may want somewhat more than the room: they rarely use all they want.
+// Below this use a job that has nothing running gets a place for one task,
+// also where fills have no room left.
+constexpr std::uint64_t kRoomyPercent = 60;
+constexpr std::int64_t kFillOvercommitPercent = 110;
+
 TimePoint Stretched(TimePoint from, Milliseconds span) {
   return from + std::chrono::duration_cast<std::chrono::nanoseconds>(
                     span * kClockDrift);
@@ -70,7 +76,7 @@
     live.born_ms = worker.born_ms();
     live.runs.clear();
     live.proposed_end = 0;
-    live.failures = 0;
+    live.failed_jobs.clear();
     live.suspended_until = TimePoint();
   }
   wire::JobCommand command;
@@ -87,6 +93,7 @@
     return std::nullopt;
   }
   live.proposed_loss = 0;
+  live.fill_budget_milli = report.fill_budget_milli();
   const std::string described = KeyOfDescription(worker);
   const bool changed =
       !registered || KeyOfDescription(known->description) != described;
@@ -151,6 +158,15 @@
     run.percent = status.percent();
     run.checkpoint = status.checkpoint();
   }
+  const auto note_end = [&](const wire::TaskEnd& end) {
+    const auto found = live.runs.find(table.KeyOf(end.task()));
+    if (found != live.runs.end() && found->second.run <= end.run())
+      found->second.ended = true;
+  };
+  for (const wire::TaskEnd& end : report.ends().ends())
+    note_end(end);
+  for (const wire::TaskEnd& end : report.rejected())
+    note_end(end);
   std::erase_if(live.runs, [&worker](const auto& item) {
     return !worker.runs.contains(item.first);
   });
@@ -215,7 +231,7 @@
       stop->set_run(task.run);
       continue;
     }
-    const bool send = (!run.known || !run.described) &&
+    const bool send = !run.ended && (!run.known || !run.described) &&
                       now >= run.sent + this->options.resend;
     if (!send)
       continue;
@@ -228,6 +244,8 @@
     start->set_checkpoint(task.checkpoint);
     start->set_tail_target_ms(step.tail_target_ms());
     start->set_fills(step.fills());
+    start->set_image(step.image());
+    start->set_cpu_milli(step.cpu_milli());
   }
   for (const wire::StopOrder& stray : live.strays)
     *orders.add_stops() = stray;
@@ -239,11 +257,12 @@
     return;
   LiveAgent& live = this->agents[event.agent];
   if (event.how == wire::RUN_END_DONE)
-    live.failures = 0;
+    live.failed_jobs.clear();
   if (event.how != wire::RUN_END_FAILED && event.how != wire::RUN_END_REJECTED)
     return;
-  live.failures += 1;
-  if (live.failures < this->options.failures_to_suspend)
+  // One bad job fails wherever it runs; several show that the worker is bad.
+  live.failed_jobs.insert(event.job);
+  if (live.failed_jobs.size() < this->options.failures_to_suspend)
     return;
   live.suspended_until = now + this->options.suspension;
   this->suspended.push_back(event.agent);
@@ -338,6 +357,21 @@
 
 }  // namespace
 
+namespace {
+
+// Whether the workers' processors are mostly not spoken for.
+bool IsRoomy(const JobTable& table) {
+  std::uint64_t used = 0;
+  std::uint64_t whole = 0;
+  for (const auto& [agent, worker] : table.workers()) {
+    used += worker.lost ? 0 : worker.used_cpu_milli;
+    whole += worker.lost ? 0 : worker.description.cpu_milli();
+  }
+  return used * 100 < whole * kRoomyPercent;
+}
+
+}  // namespace
+
 void JobScheduler::Place(const JobTable& table,
                          TimePoint now,
                          wire::JobCommand& command) {
@@ -356,10 +390,20 @@
         {.priority = job.spec.priority(), .due = DueTime(job), .key = key});
   }
   std::ranges::sort(candidates);
+  std::erase_if(this->waiting_since, [&table](const auto& item) {
+    return !table.ready_steps().contains(item.first);
+  });
   std::map<std::string, Room> rooms = this->Rooms(table, now);
+  const bool roomy = IsRoomy(table);
   for (const Candidate& candidate : candidates) {
     if (command.starts_size() >= kMostStarts)
       return;
+    const Job& job = *table.FindSequence(candidate.key.sequence);
+    this->waiting_since.try_emplace(candidate.key, now);
+    const bool idle =
+        job.assigned == 0 &&
+        now > this->waiting_since[candidate.key] + this->options.idle_job;
+    this->force_one = roomy && idle;
     if (table.Step(candidate.key).gang())
       this->PlaceGang(table, candidate.key, rooms, command);
     else
@@ -367,6 +411,15 @@
   }
 }
 
+// Tasks that serve use less than they ask for: beside them the agent finds out
+// how much fills may use.
+std::int64_t JobScheduler::Room::FillRoom() const {
+  const std::int64_t usable =
+      this->serving > 0 ? this->fill_budget_milli
+                        : this->cpu_milli * kFillOvercommitPercent / 100;
+  return usable - this->fill_cpu_milli;
+}
+
 std::map<std::string, JobScheduler::Room> JobScheduler::Rooms(
     const JobTable& table,
     TimePoint now) {
@@ -390,12 +443,14 @@
                         static_cast<std::int64_t>(worker.used_accelerators);
     room.fill_cpu_milli = static_cast<std::int64_t>(worker.fill_cpu_milli);
     // A worker that comes back from its suspension proves itself first.
-    room.probe_only = live.failures >= this->options.failures_to_suspend &&
-                      !worker.runs.empty();
+    room.probe_only =
+        live.failed_jobs.size() >= this->options.failures_to_suspend &&
+        !worker.runs.empty();
     for (const TaskKey& key : worker.runs) {
       room.serving += table.Step(key.step).tail_target_ms() > 0 ? 1 : 0;
       room.of_step[key.step] += 1;
     }
+    room.fill_budget_milli = live.fill_budget_milli;
   }
   return rooms;
 }
@@ -436,16 +491,21 @@
           step.spread_limit() == 0 || room.of_step[key] < step.spread_limit();
       if (!fits || !suits || !spread)
         continue;
+      if (step.fills() && room.FillRoom() < step.cpu_milli() &&
+          !this->force_one)
+        continue;
       std::int64_t cost = 0;
       if (step.fills()) {
-        // What others leave here, shared with the fills that are here.
-        cost = room.fill_cpu_milli - room.cpu_milli +
-               static_cast<std::int64_t>(room.serving) * kServingPenaltyMilli;
+        cost = static_cast<std::int64_t>(room.serving) * kServingPenaltyMilli -
+               room.FillRoom();
       } else {
-        // Best fit keeps large gaps for large tasks.
+        // Best fit keeps large gaps for large tasks, and keeps the tasks that
+        // serve together, away from the workers that fills use.
         cost = room.cpu_milli - cpu;
-        if (step.tail_target_ms() > 0)
+        if (step.tail_target_ms() > 0) {
           cost += 2 * room.fill_cpu_milli;
+          cost -= room.serving > 0 ? kServingPenaltyMilli : 0;
+        }
       }
       if (!step.data_rack().empty() &&
           !HasLabel(*room.worker, step.data_rack()))
@@ -462,6 +522,7 @@
       return;  // The other new tasks of the step are no smaller.
     if (best == nullptr)
       continue;
+    this->force_one = false;
     best->cpu_milli -= cpu;
     best->memory_mb -= memory;
     best->accelerators -= step.accelerators();
@@ -469,7 +530,7 @@
     best->serving += step.tail_target_ms() > 0 ? 1 : 0;
     best->of_step[key] += 1;
     if (best->worker->runs.empty() &&
-        this->agents[best->worker->description.agent()].failures >=
+        this->agents[best->worker->description.agent()].failed_jobs.size() >=
             this->options.failures_to_suspend)
       best->probe_only = true;
     wire::TaskStart* start = command.add_starts();
--- a/src/libjobs/job_scheduler.h
+++ b/src/libjobs/job_scheduler.h
@@ -24,12 +24,15 @@
   Milliseconds quiet{1500};
   /// An order that no report shows is sent again after this.
   Milliseconds resend{400};
-  /// Consecutive failures of different tasks that suspend a worker.
-  std::uint32_t failures_to_suspend = 3;
+  /// Jobs with a failure since the last run that was done, that suspend a
+  /// worker.
+  std::size_t failures_to_suspend = 3;
   Milliseconds suspension{8000};
   /// A run without progress for this long, and past three times its estimate,
   /// is moved to another worker.
   Milliseconds stuck{2500};
+  /// A job with nothing running waits at most this long for room for fills.
+  Milliseconds idle_job{1000};
 };
 
 /// A run that the leader takes from its worker.
@@ -73,6 +76,7 @@
     TimePoint sent;      // last start order; the epoch: none sent
     bool known = false;  // the agent has it
     bool described = false;
+    bool ended = false;   // its end is reported, not yet committed
     bool moving = false;  // to be stopped and placed elsewhere
     std::uint32_t percent = 0;
     TimePoint begun;
@@ -92,7 +96,8 @@
     std::int64_t proposed_loss = 0;
     std::map<TaskKey, LiveRun> runs;
     std::vector<wire::StopOrder> strays;  // runs that nobody assigned
-    std::uint32_t failures = 0;
+    std::uint32_t fill_budget_milli = 0;
+    std::set<std::string> failed_jobs;  // since a run was last done here
     TimePoint suspended_until;
   };
   struct Room {
@@ -103,7 +108,10 @@
     std::int64_t fill_cpu_milli = 0;
     std::size_t serving = 0;
     bool probe_only = false;
+    std::int64_t fill_budget_milli = 0;
     std::map<StepKey, std::size_t> of_step;
+    /// Processors that another fill may use here.
+    std::int64_t FillRoom() const;
   };
 
   void TakeRuns(const JobTable& table,
@@ -136,6 +144,8 @@
 
   JobSchedulerOptions options;
   std::map<std::string, LiveAgent> agents;
+  std::map<StepKey, TimePoint> waiting_since;
+  bool force_one = false;  // the next task is placed without room for fills
   std::vector<MovedRun> moved;
   std::vector<std::string> suspended;
 };
--- a/src/libjobs/job_scheduler_test.cc
+++ b/src/libjobs/job_scheduler_test.cc
@@ -171,6 +171,39 @@
   CHECK(this->table.Task(key).agent != first);
 }
 
+TEST(JobScheduler, OneBadJobSuspendsNoWorker) {
+  this->Take(this->Report("a"));
+  this->Submit("bad", 3, 1000, 0,
+               [](wire::JobStep* step) { step->set_lasting(true); });
+  this->Decide();
+  for (int round = 0; round < 3; ++round)
+    this->Fail("a", *this->table.FindWorker("a")->runs.begin());
+  this->Submit("good", 1, 1000, 0);
+  this->Decide();
+  LONGS_EQUAL(1, this->CountRunning("good"));
+}
+
+TEST(JobScheduler, ARunWhoseEndIsReportedIsNotOrderedAgain) {
+  this->Take(this->Report("a"));
+  this->Submit("j", 1, 1000, 0);
+  this->Decide();
+  const TaskKey key{.step = {.sequence = 1}};
+  LONGS_EQUAL(
+      1, this->scheduler.OrdersFor(this->table, "a", this->now).starts_size());
+  this->now += Milliseconds(1000);
+  wire::AgentReport report = this->Report("a");
+  report.mutable_ends()->set_up_to(1);
+  wire::TaskEnd* end = report.mutable_ends()->add_ends();
+  end->set_number(1);
+  *end->mutable_task() = this->table.NameOf(key);
+  end->set_run(1);
+  end->set_how(wire::RUN_END_DONE);
+  // The end is proposed, but not committed when the orders leave.
+  CHECK(this->scheduler.OnReport(this->table, report, this->now).has_value());
+  LONGS_EQUAL(
+      0, this->scheduler.OrdersFor(this->table, "a", this->now).starts_size());
+}
+
 TEST(JobScheduler, AGangStartsAsAWholeOrNotAtAll) {
   this->Take(this->Report("a"));
   this->Submit("gang", 5, 1000, 0,
--- a/src/libjobs/job_table.cc
+++ b/src/libjobs/job_table.cc
@@ -284,18 +284,19 @@
       this->CountFailure(job, key, end.run());
     return;
   }
-  this->Note({.kind = JobEvent::Kind::kEnded,
-              .job = job.spec.id(),
-              .task = TaskNameText(end.task()),
-              .agent = agent,
-              .run = end.run(),
-              .how = end.how()});
   if (!end.checkpoint().empty())
     task.checkpoint = end.checkpoint();
   const bool here =
       task.state == JobTaskState::kAssigned && task.agent == agent;
-  if (here)
+  if (here) {
     this->Release(task, key);
+    this->Note({.kind = JobEvent::Kind::kEnded,
+                .job = job.spec.id(),
+                .task = TaskNameText(end.task()),
+                .agent = agent,
+                .run = end.run(),
+                .how = end.how()});
+  }
   // News of a run that was given up still counts while no other has begun.
   const bool done = end.how() == wire::RUN_END_DONE && !lasting &&
                     task.state == JobTaskState::kWaiting;
--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -137,6 +137,8 @@
   });
   for (const wire::StartOrder& start : orders.starts()) {
     const std::string name = TaskNameText(start.task());
+    if (this->HasEnded(name, start.run()))
+      continue;
     Ordered& ordered = this->starts[name];
     if (ordered.order.run() > start.run())
       continue;
@@ -227,6 +229,7 @@
   if (this->watching || idle || now < this->watch_deadline)
     return;
   this->watching = true;
+  this->watch_sent = now;
   // While a call may be on its way unanswered, none may hold for longer.
   const bool hold =
       this->HasLease(now) && (this->list_current || !this->has_list);
@@ -345,7 +348,7 @@
     const bool still_runs =
         running != this->listed.end() && running->second.run <= stopping.run;
     const bool settled = stopping.confirmed != TimePoint() &&
-                         call.news_deadline > stopping.confirmed + kStopSettle;
+                         this->watch_sent > stopping.confirmed + kStopSettle;
     if (!settled || still_runs)
       return false;
     this->AddRejected(stopping.task, stopping.run);
@@ -374,10 +377,12 @@
         {.task = name,
          .run = run.run,
          .fills = known && start->second.order.fills(),
+         .cpu_milli = known ? start->second.order.cpu_milli() : 0U,
          .tail_target_ms = known ? start->second.order.tail_target_ms() : 0U,
          .measured = run.measured});
   }
-  for (const PaceChange& change : this->pacer.OnList(runs, now)) {
+  for (const PaceChange& change :
+       this->pacer.OnList(runs, this->worker->cpu_milli(), now)) {
     this->effects.emplace_back(PaceCall{.task = this->listed[change.task].task,
                                         .run = change.run,
                                         .percent = change.percent,
@@ -412,6 +417,7 @@
     this->listed.clear();
     this->rejected.clear();
   }
+  report.set_fill_budget_milli(this->pacer.budget_milli());
   for (const auto& [name, run] : this->listed) {
     const auto start = this->starts.find(name);
     wire::RunStatus* status = report.add_runs();
--- a/src/libjobs/worker_agent.h
+++ b/src/libjobs/worker_agent.h
@@ -167,6 +167,7 @@
   bool list_current = false;  // the last call got an answer
   bool watching = false;
   TimePoint watch_deadline;  // when the next call is due
+  TimePoint watch_sent;      // when the open call was made
   TimePoint held_until;      // latest hold that any call carried
   TimePoint refused_since;   // the epoch: not refused
   bool refused = false;
--- a/src/libjobs/worker_agent_test.cc
+++ b/src/libjobs/worker_agent_test.cc
@@ -38,6 +38,7 @@
     wire::JobWorkerDescription worker;
     worker.set_instance("i-1");
     worker.set_born_ms(born);
+    worker.set_cpu_milli(16000);
     this->agent.OnAnnounced(worker, this->now);
     this->Collect();
   }
@@ -144,6 +145,7 @@
   this->List({});
   this->Pass(Milliseconds(600));
   this->List({});
+  this->List({});
   LONGS_EQUAL(1, this->reports.back().rejected_size());
 }
 
@@ -152,11 +154,12 @@
   this->Give(this->OrderStop("j", 3));
   LONGS_EQUAL(1, this->stops.size());
   this->agent.OnStopped(this->stops[0], CallOutcome::kDone, this->now);
-  // A list that may be older than the stop proves nothing.
+  // Lists whose calls were made before, or just after, prove nothing.
   this->List({});
-  LONGS_EQUAL(0, this->reports.back().rejected_size());
   this->Pass(Milliseconds(600));
   this->List({});
+  LONGS_EQUAL(0, this->reports.back().rejected_size());
+  this->List({});
   LONGS_EQUAL(1, this->reports.back().rejected_size());
   LONGS_EQUAL(3, this->reports.back().rejected(0).run());
 }
@@ -230,6 +233,19 @@
   CHECK(this->starts.empty());
 }
 
+TEST(WorkerAgent, AStartThatCameTwiceIsNotMadeAfterItsEnd) {
+  this->Announce();
+  this->Give(this->OrderStart("j", 1));
+  this->agent.OnStarted(this->starts[0], CallOutcome::kDone, this->now);
+  wire::TaskEnd end;
+  end.set_number(1);
+  *end.mutable_task() = this->Name("j");
+  end.set_run(1);
+  this->List({.ended = {end}});
+  this->Give(this->OrderStart("j", 1));
+  LONGS_EQUAL(1, this->starts.size());
+}
+
 TEST(WorkerAgent, OrdersOfAnEarlierLeaderAreNotCarriedOut) {
   this->Announce();
   this->Give(this->Orders());
@@ -246,6 +262,7 @@
   *orders.add_starts()->mutable_task() = this->Name("fill");
   orders.mutable_starts(1)->set_run(1);
   orders.mutable_starts(1)->set_fills(true);
+  orders.mutable_starts(1)->set_cpu_milli(8000);
   this->Give(orders);
   for (const StartCall& call : std::vector<StartCall>(this->starts))
     this->agent.OnStarted(call, CallOutcome::kDone, this->now);
