Learn which images disturb each other; place and pace fills by it

Change: SharingModel takes latency as that of a queue and learns, by pairs of images, how much a processor of fills adds to its utilization (NLMS on changes of both, which the worker measures over the same half second). Agents set each fill's pace by it; the leader places a fill only where the worker does most of it on top of what it does now. Jobs that can be in time go before jobs that are late anyway.

--- a/src/libcontrol/control_core.cc
+++ b/src/libcontrol/control_core.cc
@@ -162,8 +162,8 @@
 void ControlCore::DecideJobs(TimePoint now) {
   if (!this->Serves(now) || this->applied < this->job_decision_index)
     return;
-  auto command = this->job_scheduler->Decide(this->control_state.jobs(),
-                                             this->wall_ms, now);
+  auto command = this->job_scheduler->Decide(
+      this->control_state.jobs(), this->wall_ms, this->GroupTime(now), now);
   for (const MovedRun& run : this->job_scheduler->TakeMoved())
     this->Note(Event::kJobRunMoved,
                run.task + " " + run.agent + ": " + run.why);
--- a/src/libjobs/job_scheduler.cc
+++ b/src/libjobs/job_scheduler.cc
@@ -21,6 +21,9 @@
 // Below this use a job that has nothing running gets a place for one task,
 // also where fills have no room left.
 constexpr std::uint64_t kRoomyPercent = 60;
+// What tasks that serve use of what they ask for.
+constexpr std::int64_t kServingUsePercent = 60;
+constexpr std::int64_t kForcedFillCost = 1'000'000;
 constexpr std::int64_t kFillOvercommitPercent = 110;
 
 TimePoint Stretched(TimePoint from, Milliseconds span) {
@@ -93,7 +96,6 @@
     return std::nullopt;
   }
   live.proposed_loss = 0;
-  live.fill_budget_milli = report.fill_budget_milli();
   const std::string described = KeyOfDescription(worker);
   const bool changed =
       !registered || KeyOfDescription(known->description) != described;
@@ -156,6 +158,7 @@
     run.known = true;
     run.described = status.described();
     run.percent = status.percent();
+    run.measured = status.measured();
     run.checkpoint = status.checkpoint();
   }
   const auto note_end = [&](const wire::TaskEnd& end) {
@@ -171,6 +174,46 @@
     return !worker.runs.contains(item.first);
   });
   this->FindStuckRuns(table, report.worker().agent(), live, now);
+  this->Learn(table, report.worker().agent(), live, now);
+}
+
+namespace {
+
+SharedRun ToSharedRun(const std::string& name,
+                      const wire::JobStep& step,
+                      std::uint32_t measured) {
+  constexpr double kMilli = 1000;
+  SharedRun run{.task = name,
+                .image = step.image(),
+                .fills = step.fills(),
+                .tail_target_ms = static_cast<double>(step.tail_target_ms())};
+  if (step.fills()) {
+    run.processors = measured / kMilli;
+    run.wanted = step.cpu_milli() / kMilli;
+  } else if (step.tail_target_ms() > 0) {
+    run.tail_latency_ms = measured;
+  }
+  return run;
+}
+
+}  // namespace
+
+void JobScheduler::Learn(const JobTable& table,
+                         const std::string& agent,
+                         LiveAgent& live,
+                         TimePoint now) {
+  if (now < live.next_lesson)
+    return;
+  live.next_lesson = now + this->options.lesson;
+  std::vector<SharedRun> shared;
+  for (const auto& [key, run] : live.runs) {
+    const wire::JobStep& step = table.Step(key.step);
+    if (step.fills() || step.tail_target_ms() > 0) {
+      shared.push_back(
+          ToSharedRun(TaskNameText(table.NameOf(key)), step, run.measured));
+    }
+  }
+  this->sharing.Learn(agent, shared);
 }
 
 void JobScheduler::FindStuckRuns(const JobTable& table,
@@ -270,9 +313,12 @@
 
 // --- Decisions ---
 
-std::optional<wire::JobCommand> JobScheduler::Decide(const JobTable& table,
-                                                     std::int64_t wall_ms,
-                                                     TimePoint now) {
+std::optional<wire::JobCommand> JobScheduler::Decide(
+    const JobTable& table,
+    std::int64_t wall_ms,
+    std::uint64_t group_time_ms,
+    TimePoint now) {
+  this->group_time_ms = group_time_ms;
   wire::JobCommand command;
   this->GiveUpSilent(table, now, command);
   this->BeginDue(table, wall_ms, command);
@@ -337,24 +383,58 @@
 
 namespace {
 
-// When the owner expects the job: its longest chain of estimates, stretched by
-// the queue's slack, and the queue's own latency target.
-std::uint64_t DueTime(const Job& job) {
+// Longest chain of estimates through the steps that are not done yet.
+std::uint64_t RemainingChain(const Job& job, const StepKey& key) {
+  std::vector<std::uint64_t> chain;
+  std::uint64_t longest = 0;
+  const std::vector<StepState>& states = job.occurrences.at(key.occurrence);
+  for (int number = 0; number < job.spec.steps_size(); ++number) {
+    const wire::JobStep& step = job.spec.steps(number);
+    std::uint64_t before = 0;
+    for (const std::uint32_t after : step.after())
+      before = std::max(before, chain[after]);
+    const bool done = states[static_cast<std::size_t>(number)].IsDone();
+    chain.push_back(before + (done ? 0 : step.estimated_ms()));
+    longest = std::max(longest, chain.back());
+  }
+  return longest;
+}
+
+// How long the owner is ready to wait: the longest chain of estimates,
+// stretched by the queue's slack, and the queue's own latency target.
+std::uint64_t ObjectiveOf(const Job& job) {
   std::vector<std::uint64_t> chain;
+  std::uint64_t longest = 0;
   for (const wire::JobStep& step : job.spec.steps()) {
     std::uint64_t before = 0;
-    for (const std::uint32_t after : step.after()) {
-      if (after < chain.size())
-        before = std::max(before, chain[after]);
-    }
+    for (const std::uint32_t after : step.after())
+      before = std::max(before, chain[after]);
     chain.push_back(before + step.estimated_ms());
+    longest = std::max(longest, chain.back());
   }
-  const std::uint64_t longest =
-      chain.empty() ? 0 : *std::ranges::max_element(chain);
-  return job.accepted_ms + longest * job.spec.slack_percent() / 100 +
+  return longest * job.spec.slack_percent() / 100 +
          job.spec.latency_target_ms();
 }
 
+// What waiting still can change for a job. Under overload the order by due
+// time alone would make every job late, so those that can be in time go first.
+enum class Prospect { kInTime, kLate, kTooLate };
+
+Prospect ProspectOf(const Job& job,
+                    const StepKey& key,
+                    std::uint64_t group_time_ms) {
+  // A job that takes this many objectives is worth nothing to its owner.
+  constexpr std::uint64_t kWorthlessObjectives = 3;
+  const std::uint64_t objective = ObjectiveOf(job);
+  const std::uint64_t finish =
+      std::max(group_time_ms, job.accepted_ms) + RemainingChain(job, key);
+  if (finish <= job.accepted_ms + objective)
+    return Prospect::kInTime;
+  if (finish <= job.accepted_ms + kWorthlessObjectives * objective)
+    return Prospect::kLate;
+  return Prospect::kTooLate;
+}
+
 }  // namespace
 
 namespace {
@@ -379,6 +459,7 @@
     return;
   struct Candidate {
     std::uint32_t priority = 0;
+    Prospect prospect = Prospect::kInTime;
     std::uint64_t due = 0;
     StepKey key;
     auto operator<=>(const Candidate& other) const = default;
@@ -386,8 +467,10 @@
   std::vector<Candidate> candidates;
   for (const StepKey& key : table.ready_steps()) {
     const Job& job = *table.FindSequence(key.sequence);
-    candidates.push_back(
-        {.priority = job.spec.priority(), .due = DueTime(job), .key = key});
+    candidates.push_back({.priority = job.spec.priority(),
+                          .prospect = ProspectOf(job, key, this->group_time_ms),
+                          .due = job.accepted_ms + ObjectiveOf(job),
+                          .key = key});
   }
   std::ranges::sort(candidates);
   std::erase_if(this->waiting_since, [&table](const auto& item) {
@@ -411,13 +494,46 @@
   }
 }
 
-// Tasks that serve use less than they ask for: beside them the agent finds out
-// how much fills may use.
+// Tasks that serve use less than they ask for; fills get the rest.
 std::int64_t JobScheduler::Room::FillRoom() const {
-  const std::int64_t usable =
-      this->serving > 0 ? this->fill_budget_milli
-                        : this->cpu_milli * kFillOvercommitPercent / 100;
-  return usable - this->fill_cpu_milli;
+  const std::int64_t unused =
+      this->serving_cpu_milli * (100 - kServingUsePercent) / 100;
+  return (this->cpu_milli + unused) * kFillOvercommitPercent / 100 -
+         this->fill_cpu_milli;
+}
+
+namespace {
+
+// Processors at work for fills.
+double FillThroughput(const SharingModel& sharing,
+                      const std::vector<SharedRun>& runs) {
+  const std::vector<double> speeds = sharing.Speeds(runs, true);
+  double sum = 0;
+  for (std::size_t i = 0; i < runs.size(); ++i)
+    sum += runs[i].wanted * speeds[i];
+  return sum;
+}
+
+}  // namespace
+
+// Nothing where the fill would get on mostly at the expense of those that are
+// there: sharing a worker's room makes all of them late.
+std::optional<std::int64_t> JobScheduler::FillCost(
+    const Room& room,
+    const wire::JobStep& step) const {
+  if (room.FillRoom() < step.cpu_milli())
+    return std::nullopt;
+  constexpr double kMilli = 1000;
+  std::vector<SharedRun> trial = room.shared;
+  const double before = FillThroughput(this->sharing, trial);
+  trial.push_back(ToSharedRun("", step, 0));
+  const double gain = FillThroughput(this->sharing, trial) - before;
+  const double share = gain * kMilli / std::max(1U, step.cpu_milli());
+  if (share < this->options.least_fill_gain)
+    return std::nullopt;
+  return static_cast<std::int64_t>((1 - share) * kMilli * kMilli) +
+         static_cast<std::int64_t>(room.serving) * kServingPenaltyMilli -
+         room.FillRoom();
 }
 
 std::map<std::string, JobScheduler::Room> JobScheduler::Rooms(
@@ -447,10 +563,17 @@
         live.failed_jobs.size() >= this->options.failures_to_suspend &&
         !worker.runs.empty();
     for (const TaskKey& key : worker.runs) {
-      room.serving += table.Step(key.step).tail_target_ms() > 0 ? 1 : 0;
+      const wire::JobStep& step = table.Step(key.step);
+      if (step.fills() || step.tail_target_ms() > 0) {
+        room.shared.push_back(
+            ToSharedRun(TaskNameText(table.NameOf(key)), step, 0));
+      }
+      if (step.tail_target_ms() > 0) {
+        room.serving += 1;
+        room.serving_cpu_milli += step.cpu_milli();
+      }
       room.of_step[key.step] += 1;
     }
-    room.fill_budget_milli = live.fill_budget_milli;
   }
   return rooms;
 }
@@ -491,13 +614,12 @@
           step.spread_limit() == 0 || room.of_step[key] < step.spread_limit();
       if (!fits || !suits || !spread)
         continue;
-      if (step.fills() && room.FillRoom() < step.cpu_milli() &&
-          !this->force_one)
-        continue;
       std::int64_t cost = 0;
       if (step.fills()) {
-        cost = static_cast<std::int64_t>(room.serving) * kServingPenaltyMilli -
-               room.FillRoom();
+        const auto fill_cost = this->FillCost(room, step);
+        if (!fill_cost && !this->force_one)
+          continue;
+        cost = fill_cost.value_or(kForcedFillCost - room.FillRoom());
       } else {
         // Best fit keeps large gaps for large tasks, and keeps the tasks that
         // serve together, away from the workers that fills use.
@@ -527,6 +649,8 @@
     best->memory_mb -= memory;
     best->accelerators -= step.accelerators();
     best->fill_cpu_milli += step.fills() ? step.cpu_milli() : 0;
+    if (step.fills())
+      best->shared.push_back(ToSharedRun("", step, 0));
     best->serving += step.tail_target_ms() > 0 ? 1 : 0;
     best->of_step[key] += 1;
     if (best->worker->runs.empty() &&
--- a/src/libjobs/job_scheduler.h
+++ b/src/libjobs/job_scheduler.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "libjobs/job_table.h"
+#include "libjobs/sharing_model.h"
 #include "savoryring/time.h"
 
 namespace savoryring {
@@ -33,6 +34,12 @@
   Milliseconds stuck{2500};
   /// A job with nothing running waits at most this long for room for fills.
   Milliseconds idle_job{1000};
+  /// Time between two lessons of how a worker's tasks disturb each other: that
+  /// of one measurement.
+  Milliseconds lesson{450};
+  /// A fill is not placed where the worker would do less than this share of it
+  /// on top of what it does now.
+  double least_fill_gain = 0.7;
 };
 
 /// A run that the leader takes from its worker.
@@ -62,9 +69,11 @@
   void OnEvent(const JobEvent& event, TimePoint now);
 
   /// The next decision, to be committed before another is asked for;
-  /// `wall_ms` is the Unix time for jobs that begin by time.
+  /// `wall_ms` is the Unix time for jobs that begin by time, `group_time_ms`
+  /// the time of the group's log.
   std::optional<wire::JobCommand> Decide(const JobTable& table,
                                          std::int64_t wall_ms,
+                                         std::uint64_t group_time_ms,
                                          TimePoint now);
 
   std::vector<MovedRun> TakeMoved();
@@ -79,6 +88,7 @@
     bool ended = false;   // its end is reported, not yet committed
     bool moving = false;  // to be stopped and placed elsewhere
     std::uint32_t percent = 0;
+    std::uint32_t measured = 0;
     TimePoint begun;
     TimePoint progressed;
     std::string checkpoint;
@@ -96,7 +106,7 @@
     std::int64_t proposed_loss = 0;
     std::map<TaskKey, LiveRun> runs;
     std::vector<wire::StopOrder> strays;  // runs that nobody assigned
-    std::uint32_t fill_budget_milli = 0;
+    TimePoint next_lesson;
     std::set<std::string> failed_jobs;  // since a run was last done here
     TimePoint suspended_until;
   };
@@ -106,9 +116,10 @@
     std::int64_t memory_mb = 0;
     std::int64_t accelerators = 0;
     std::int64_t fill_cpu_milli = 0;
+    std::int64_t serving_cpu_milli = 0;
     std::size_t serving = 0;
     bool probe_only = false;
-    std::int64_t fill_budget_milli = 0;
+    std::vector<SharedRun> shared;  // serving tasks and fills
     std::map<StepKey, std::size_t> of_step;
     /// Processors that another fill may use here.
     std::int64_t FillRoom() const;
@@ -118,6 +129,12 @@
                 LiveAgent& live,
                 const wire::AgentReport& report,
                 TimePoint now);
+  void Learn(const JobTable& table,
+             const std::string& agent,
+             LiveAgent& live,
+             TimePoint now);
+  std::optional<std::int64_t> FillCost(const Room& room,
+                                       const wire::JobStep& step) const;
   void FindStuckRuns(const JobTable& table,
                      const std::string& agent,
                      LiveAgent& live,
@@ -144,6 +161,8 @@
 
   JobSchedulerOptions options;
   std::map<std::string, LiveAgent> agents;
+  SharingModel sharing;
+  std::uint64_t group_time_ms = 0;
   std::map<StepKey, TimePoint> waiting_since;
   bool force_one = false;  // the next task is placed without room for fills
   std::vector<MovedRun> moved;
--- a/src/libjobs/job_scheduler_test.cc
+++ b/src/libjobs/job_scheduler_test.cc
@@ -11,6 +11,7 @@
   TimePoint now = TimePoint(std::chrono::seconds(100));
   JobScheduler scheduler{{}, JobTable(), TimePoint(std::chrono::seconds(100))};
   std::uint64_t ends = 0;
+  std::uint64_t group_time = 0;
 
   wire::AgentReport Report(const std::string& agent,
                            std::uint32_t cpu_milli = 4000) {
@@ -37,13 +38,15 @@
       this->scheduler.OnEvent(event, this->now);
   }
   void Decide() {
-    if (const auto command = this->scheduler.Decide(this->table, 0, this->now))
+    if (const auto command =
+            this->scheduler.Decide(this->table, 0, this->group_time, this->now))
       this->Apply(*command);
   }
   void Submit(const std::string& id, std::uint32_t count,
               std::uint32_t cpu_milli, std::uint32_t priority,
               const std::function<void(wire::JobStep*)>& change = {}) {
     wire::JobCommand command;
+    command.set_group_time_ms(this->group_time);
     wire::JobSpec* spec = command.mutable_submit();
     spec->set_id(id);
     spec->set_service("desk");
@@ -87,6 +90,17 @@
   LONGS_EQUAL(0, this->CountRunning("batch"));
 }
 
+// Under overload, work that is late anyway does not make other work late too.
+TEST(JobScheduler, JobsThatCanBeInTimeGoBeforeThoseThatCannot) {
+  this->Submit("late", 4, 1000, 2);
+  this->group_time = 2000;
+  this->Submit("fresh", 4, 1000, 2);
+  this->Take(this->Report("a"));
+  this->Decide();
+  LONGS_EQUAL(4, this->CountRunning("fresh"));
+  LONGS_EQUAL(0, this->CountRunning("late"));
+}
+
 TEST(JobScheduler, AStepWiderThanTheRoomRunsInWaves) {
   this->Take(this->Report("a"));
   this->Submit("wide", 10, 1000, 0);
@@ -122,8 +136,10 @@
   this->Submit("j", 1, 1000, 0);
   this->Decide();
   JobScheduler next({}, this->table, this->now);
-  CHECK(!next.Decide(this->table, 0, this->now + Milliseconds(6000)));
-  CHECK(next.Decide(this->table, 0, this->now + Milliseconds(6500))
+  CHECK(!next.Decide(this->table, 0, this->group_time,
+                     this->now + Milliseconds(6000)));
+  CHECK(next.Decide(this->table, 0, this->group_time,
+                    this->now + Milliseconds(6500))
             ->losses_size() == 1);
 }
 
@@ -273,8 +289,8 @@
   spec->set_interval_ms(1000);
   spec->add_steps()->set_count(1);
   this->Apply(command);
-  CHECK(!this->scheduler.Decide(this->table, 4999, this->now));
-  const auto first = this->scheduler.Decide(this->table, 5000, this->now);
+  CHECK(!this->scheduler.Decide(this->table, 4999, 0, this->now));
+  const auto first = this->scheduler.Decide(this->table, 5000, 0, this->now);
   LONGS_EQUAL(1, first->occurrences_size());
 }
 
--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -376,13 +376,13 @@
     runs.push_back(
         {.task = name,
          .run = run.run,
+         .image = known ? start->second.order.image() : "",
          .fills = known && start->second.order.fills(),
          .cpu_milli = known ? start->second.order.cpu_milli() : 0U,
          .tail_target_ms = known ? start->second.order.tail_target_ms() : 0U,
          .measured = run.measured});
   }
-  for (const PaceChange& change :
-       this->pacer.OnList(runs, this->worker->cpu_milli(), now)) {
+  for (const PaceChange& change : this->pacer.OnList(runs, now)) {
     this->effects.emplace_back(PaceCall{.task = this->listed[change.task].task,
                                         .run = change.run,
                                         .percent = change.percent,
@@ -417,7 +417,6 @@
     this->listed.clear();
     this->rejected.clear();
   }
-  report.set_fill_budget_milli(this->pacer.budget_milli());
   for (const auto& [name, run] : this->listed) {
     const auto start = this->starts.find(name);
     wire::RunStatus* status = report.add_runs();
