--- a/src/include/savoryring/settings.h
+++ b/src/include/savoryring/settings.h
@@ -66,7 +66,8 @@
 
 struct LogSettings {
   std::string level = "info";
-  std::string file;  ///< Empty: standard error.
+  std::string file;  ///< Empty: standard error; "-": standard output.
+  std::string format = "text";  ///< "text", or "json": one object a line.
 };
 
 struct Settings {
@@ -86,7 +87,8 @@
   TimingSettings timing;
   LimitSettings limits;
   LogSettings log;
-  std::string trace_file;  ///< Empty: spans are not written.
+  std::string trace_file;    ///< Empty: spans are not written.
+  std::string metrics_http;  ///< Empty: no address for metrics alone.
 };
 
 /// Parses and checks a whole settings text.
--- a/src/libbase/events.cc
+++ b/src/libbase/events.cc
@@ -2,18 +2,28 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <boost/log/utility/setup/file.hpp>
+#include <boost/log/utility/setup/formatter_parser.hpp>
+#include <boost/make_shared.hpp>
+#include <chrono>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
+#include <map>
+#include <mutex>
 #include <nlohmann/json.hpp>
 
 #include "savoryring/result.h"
+#include "savoryring/time.h"
 
 namespace savoryring {
 namespace {
@@ -34,6 +44,8 @@
               "the settings file changed and was read again"},
     EventInfo{kSettingsRefused, "settings-refused", kWarning,
               "the changed settings can't be used; the old ones stay"},
+    EventInfo{kLinesDropped, "lines-dropped", kWarning,
+              "too many lines of one event in a second; some were not written"},
     EventInfo{kForeignMessage, "foreign-message", kWarning,
               "bytes on a link port were not a whole message; dropped"},
     EventInfo{kConnectionReplaced, "connection-replaced", kWarning,
@@ -44,6 +56,8 @@
               "the leader does not answer; another control is asked"},
     EventInfo{kMalformedInput, "malformed-input", kWarning,
               "a message from outside can't be read; it is refused or dropped"},
+    EventInfo{kWorkerAnnounced, "worker-announced", kInfo,
+              "the worker beside this agent began a life or changed its state"},
     EventInfo{kRequestAnswered, "request-answered", kDebug,
               "a caller got the endpoint's answer"},
     EventInfo{kRequestRefused, "request-refused", kInfo,
@@ -110,6 +124,8 @@
               "a worker gets no new tasks for a while"},
     EventInfo{kJobRunPaced, "job-run-paced", kInfo,
               "a run works at another share of its speed"},
+    EventInfo{kJobCallAnswered, "job-call-answered", kInfo,
+              "a caller's submission or cancellation was answered"},
 };
 
 trivial::severity_level LevelOf(Severity severity) {
@@ -151,45 +167,145 @@
   return kCatalogue;
 }
 
+namespace {
+
+// Lines that wait for the writing thread; further ones are dropped.
+constexpr std::size_t kMostQueuedLines = 4096;
+// Lines of one event in one second.
+constexpr std::uint32_t kMostLinesPerSecond = 250;
+
+using Queue =
+    boost::log::sinks::bounded_fifo_queue<kMostQueuedLines,
+                                          boost::log::sinks::drop_on_overflow>;
+using StreamSink = boost::log::sinks::
+    asynchronous_sink<boost::log::sinks::text_ostream_backend, Queue>;
+
+struct LogState {
+  std::mutex mutex;
+  boost::shared_ptr<StreamSink> sink;
+  bool json = false;
+  std::int64_t second = 0;
+  std::map<Event, std::uint32_t> lines;  // in this second
+};
+
+LogState& State() {
+  static LogState state;
+  return state;
+}
+
+std::string FormatText(const EventInfo& info, std::span<const Field> fields) {
+  std::string text = ProcessName() + " " +
+                     std::to_string(static_cast<int>(info.event)) + " " +
+                     std::string(info.name);
+  for (const Field& field : fields) {
+    const nlohmann::json quoted(field.value);
+    text +=
+        " " + std::string(field.name) + "=" +
+        quoted.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+  }
+  return text;
+}
+
+std::string FormatJson(const EventInfo& info, std::span<const Field> fields) {
+  using Clock = std::chrono::system_clock;
+  const auto unix_ms =
+      std::chrono::duration_cast<Milliseconds>(Clock::now().time_since_epoch());
+  nlohmann::ordered_json line{
+      {"unix_ms", unix_ms.count()},
+      {"level", boost::log::trivial::to_string(LevelOf(info.severity))},
+      {"process", ProcessName()},
+      {"event", static_cast<int>(info.event)},
+      {"name", info.name}};
+  for (const Field& field : fields)
+    line[std::string(field.name)] = field.value;
+  return line.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+}
+
+void Write(const EventInfo& info, const std::string& line) {
+  thread_local boost::log::sources::severity_logger<trivial::severity_level>
+      logger;
+  BOOST_LOG_SEV(logger, LevelOf(info.severity)) << line;
+}
+
+std::string Format(const EventInfo& info, std::span<const Field> fields) {
+  return State().json ? FormatJson(info, fields) : FormatText(info, fields);
+}
+
+// Counts a line. Returns whether it may be written, and adds to `dropped` what
+// the last second did not.
+bool Admit(Event event, std::map<Event, std::uint32_t>& dropped) {
+  LogState& state = State();
+  const std::lock_guard lock(state.mutex);
+  const std::int64_t second = ToMilliseconds(BootClock::now()) / 1000;
+  if (second != state.second) {
+    for (const auto& [which, count] : state.lines) {
+      if (count > kMostLinesPerSecond)
+        dropped[which] = count - kMostLinesPerSecond;
+    }
+    state.lines.clear();
+    state.second = second;
+  }
+  return ++state.lines[event] <= kMostLinesPerSecond;
+}
+
+}  // namespace
+
 void StartLog(const LogSettings& settings, const std::string& process) {
   namespace keywords = boost::log::keywords;
-  constexpr const char* kFormat = "%TimeStamp% %Severity% %Message%";
+  namespace sinks = boost::log::sinks;
   ProcessName() = process;
+  LogState& state = State();
+  state.json = settings.format == "json";
   boost::log::add_common_attributes();
   boost::log::register_simple_formatter_factory<trivial::severity_level, char>(
       "Severity");
-  if (settings.file.empty()) {
-    boost::log::add_console_log(std::clog, keywords::format = kFormat,
-                                keywords::auto_flush = true);
+  auto backend = boost::make_shared<sinks::text_ostream_backend>();
+  if (settings.file.empty() || settings.file == "-") {
+    std::ostream& stream = settings.file.empty() ? std::clog : std::cout;
+    backend->add_stream(
+        boost::shared_ptr<std::ostream>(&stream, boost::null_deleter()));
   } else {
     std::error_code ignored;
     std::filesystem::create_directories(
         std::filesystem::path(settings.file).parent_path(), ignored);
-    boost::log::add_file_log(keywords::file_name = settings.file,
-                             keywords::open_mode = std::ios::app,
-                             keywords::format = kFormat,
-                             keywords::auto_flush = true);
+    auto file = boost::make_shared<std::ofstream>(settings.file, std::ios::app);
+    if (!file->is_open())
+      throw Error(ResultCode::kUnreadableFile, settings.file);
+    backend->add_stream(file);
   }
+  backend->auto_flush(true);
+  state.sink = boost::make_shared<StreamSink>(backend);
+  state.sink->set_formatter(boost::log::parse_formatter(
+      state.json ? "%Message%" : "%TimeStamp% %Severity% %Message%"));
+  boost::log::core::get()->add_sink(state.sink);
   boost::log::core::get()->set_filter(trivial::severity >=
                                       ParseLevel(settings.level));
 }
 
-void LogEvent(Event event, std::initializer_list<Field> fields) {
+void StopLog() {
+  LogState& state = State();
+  if (!state.sink)
+    return;
+  boost::log::core::get()->remove_sink(state.sink);
+  state.sink->stop();
+  state.sink->flush();
+  state.sink.reset();
+}
+
+void LogEvent(Event event, std::span<const Field> fields) {
+  std::map<Event, std::uint32_t> dropped;
+  const bool admitted = Admit(event, dropped);
+  for (const auto& [which, count] : dropped) {
+    const EventInfo& info = InfoOfEvent(Event::kLinesDropped);
+    const std::array<Field, 2> told{
+        Field{.name = "of", .value = std::string(InfoOfEvent(which).name)},
+        Field{.name = "count", .value = std::to_string(count)}};
+    Write(info, Format(info, told));
+  }
+  if (!admitted)
+    return;
   const EventInfo& info = InfoOfEvent(event);
-  thread_local boost::log::sources::severity_logger<trivial::severity_level>
-      logger;
-  BOOST_LOG_SEV(logger, LevelOf(info.severity))
-      << ProcessName() << ' ' << static_cast<int>(event) << ' ' << info.name
-      << [&fields] {
-           std::string text;
-           for (const Field& field : fields) {
-             const nlohmann::json quoted(field.value);
-             text += " " + std::string(field.name) + "=" +
-                     quoted.dump(-1, ' ', true,
-                                 nlohmann::json::error_handler_t::replace);
-           }
-           return text;
-         }();
+  Write(info, Format(info, fields));
 }
 
 }  // namespace savoryring
--- a/src/libbase/events.h
+++ b/src/libbase/events.h
@@ -20,11 +20,13 @@
   kStartFailed = 1004,
   kSettingsReloaded = 1005,
   kSettingsRefused = 1006,
+  kLinesDropped = 1007,
   kForeignMessage = 1101,
   kConnectionReplaced = 1102,
   kLeaderFound = 1103,
   kLeaderSilent = 1104,
   kMalformedInput = 1105,
+  kWorkerAnnounced = 1106,
   kRequestAnswered = 1201,
   kRequestRefused = 1202,
   kOutcomeUnknown = 1203,
@@ -59,6 +61,7 @@
   kJobRunMoved = 1806,
   kJobWorkerSuspended = 1807,
   kJobRunPaced = 1808,
+  kJobCallAnswered = 1809,
 };
 
 struct EventInfo {
@@ -77,12 +80,20 @@
   std::string value;
 };
 
-/// Sets the level and the file. Throws Error (kUnreadableFile).
+/// Sets the level, the file and the format. Lines are written by a thread of
+/// their own from a bounded queue; no caller waits for one. Throws Error
+/// (kUnreadableFile).
 void StartLog(const LogSettings& settings, const std::string& process);
+/// Writes what is queued. Called before the process ends.
+void StopLog();
 
-/// Writes one line: time, level, process, number, name and the fields.
-/// Thread safe.
-void LogEvent(Event event, std::initializer_list<Field> fields);
+/// Writes one line: time, level, process, number, name and the fields. Of one
+/// event at most a few hundred lines a second are written; a line tells how
+/// many were not. Thread safe.
+void LogEvent(Event event, std::span<const Field> fields);
+inline void LogEvent(Event event, std::initializer_list<Field> fields) {
+  LogEvent(event, std::span<const Field>(fields.begin(), fields.size()));
+}
 
 }  // namespace savoryring
 
--- a/src/libbase/settings.cc
+++ b/src/libbase/settings.cc
@@ -124,7 +124,7 @@
 }
 
 LogSettings ParseLog(const ObjectView& view) {
-  view.AllowKeys({"level", "file"});
+  view.AllowKeys({"level", "file", "format"});
   LogSettings log;
   if (view.Has("level"))
     log.level = view.String("level", true);
@@ -134,6 +134,10 @@
                 "must be debug, info, warning or error");
   }
   log.file = view.String("file", false);
+  if (view.Has("format"))
+    log.format = view.String("format", true);
+  if (log.format != "text" && log.format != "json")
+    view.Report(ResultCode::kOutOfRange, "format", "must be text or json");
   return log;
 }
 
@@ -203,7 +207,7 @@
   view.AllowKeys({"id", "availability_zone", "rack", "duties", "data_folder",
                   "entry", "control", "endpoint", "entries", "controls",
                   "timing", "limits", "log", "trace_file", "gateway", "agent",
-                  "discovery", "platform"});
+                  "discovery", "platform", "metrics"});
   Settings settings;
   settings.id = view.String("id", true);
   settings.availability_zone = view.String("availability_zone", true);
@@ -213,6 +217,11 @@
   ParseDuties(view, settings);
   if (view.Has("discovery"))
     settings.discovery = ParseDiscovery(view.Object("discovery"));
+  if (view.Has("metrics")) {
+    const ObjectView metrics = view.Object("metrics");
+    metrics.AllowKeys({"http"});
+    settings.metrics_http = Address(metrics, "http");
+  }
   if (view.Has("platform"))
     settings.platform = ParsePlatform(view.Object("platform"));
   ParsePeers(view, settings);
--- a/src/libcontrol/control_core.cc
+++ b/src/libcontrol/control_core.cc
@@ -1,5 +1,8 @@
 #include "libcontrol/control_core.h"
 
+#include <algorithm>
+#include <cctype>
+#include <string_view>
 #include <utility>
 
 namespace savoryring {
@@ -9,6 +12,16 @@
 // How long a process counts as live after its last message.
 constexpr Milliseconds kProcessValid{3000};
 
+// "done", "failed", "stopped", ... as logs show them.
+std::string NameOfEnd(wire::RunEnd how) {
+  constexpr std::string_view kPrefix = "RUN_END_";
+  std::string name = wire::RunEnd_Name(how).substr(kPrefix.size());
+  std::ranges::transform(name, name.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return name;
+}
+
 }  // namespace
 
 ControlCore::ControlCore(ControlOptions options,
@@ -166,7 +179,7 @@
       this->control_state.jobs(), this->wall_ms, this->GroupTime(now), now);
   for (const MovedRun& run : this->job_scheduler->TakeMoved())
     this->Note(Event::kJobRunMoved,
-               run.task + " " + run.agent + ": " + run.why);
+               {{"task", run.task}, {"worker", run.agent}, {"why", run.why}});
   if (!command)
     return;
   this->ProposeJobs(std::move(*command), now);
@@ -185,27 +198,36 @@
   if (!this->job_scheduler)
     return;
   for (const std::string& agent : this->job_scheduler->TakeSuspended())
-    this->Note(Event::kJobWorkerSuspended, agent);
+    this->Note(Event::kJobWorkerSuspended, {{"worker", agent}});
 }
 
 void ControlCore::NoteJobEvent(const JobEvent& event) {
+  const auto run_fields = [&event] {
+    return std::vector<Field>{{"job", event.job},
+                              {"task", event.task},
+                              {"run", std::to_string(event.run)},
+                              {"worker", event.agent}};
+  };
   switch (event.kind) {
     case JobEvent::Kind::kAccepted:
-      return this->Note(Event::kJobAccepted, event.job);
+      return this->Note(Event::kJobAccepted,
+                        {{"job", event.job}, {"queue", event.why}});
     case JobEvent::Kind::kJobEnded:
     case JobEvent::Kind::kCancelled:
-      return this->Note(Event::kJobEnded, event.job + " " + event.why);
+      return this->Note(Event::kJobEnded,
+                        {{"job", event.job}, {"why", event.why}});
     case JobEvent::Kind::kStarted:
-      return this->Note(Event::kJobRunStarted, event.task + " run " +
-                                                   std::to_string(event.run) +
-                                                   " on " + event.agent);
-    case JobEvent::Kind::kEnded:
-      return this->Note(Event::kJobRunEnded,
-                        event.task + " run " + std::to_string(event.run) +
-                            " on " + event.agent + " " +
-                            wire::RunEnd_Name(event.how) + " " + event.why);
+      return this->Note(Event::kJobRunStarted, run_fields());
+    case JobEvent::Kind::kEnded: {
+      std::vector<Field> fields = run_fields();
+      fields.push_back({"how", NameOfEnd(event.how)});
+      if (!event.why.empty())
+        fields.push_back({"why", event.why});
+      return this->Note(Event::kJobRunEnded, std::move(fields));
+    }
     case JobEvent::Kind::kLost:
-      return this->Note(Event::kJobWorkerLost, event.agent + " " + event.why);
+      return this->Note(Event::kJobWorkerLost,
+                        {{"worker", event.agent}, {"why", event.why}});
   }
 }
 
@@ -447,6 +469,11 @@
                                                : "";
 }
 
+void ControlCore::Note(Event event, std::vector<Field> fields) {
+  this->effects.emplace_back(
+      NoteEvent{.event = event, .fields = std::move(fields)});
+}
+
 void ControlCore::Note(Event event, const std::string& detail) {
   this->effects.emplace_back(NoteEvent{.event = event, .detail = detail});
 }
--- a/src/libcontrol/control_core.h
+++ b/src/libcontrol/control_core.h
@@ -51,7 +51,8 @@
 /// Something that an operator's log shows.
 struct NoteEvent {
   Event event = Event::kStarted;
-  std::string detail;
+  std::string detail;         ///< Empty where the fields say all.
+  std::vector<Field> fields;  ///< Names are literals.
 };
 using ControlEffect =
     std::variant<SendOrders, SendAgentOrders, ReplyToCall, NoteEvent>;
@@ -120,6 +121,7 @@
   void CompactIfLong();
   void AddOrders(const std::string& worker, std::uint64_t echo, bool lease);
   void Note(Event event, const std::string& detail);
+  void Note(Event event, std::vector<Field> fields);
   ControlView View(TimePoint now) const;
 
   ControlOptions options;
--- a/src/libcontrol/control_core_test.cc
+++ b/src/libcontrol/control_core_test.cc
@@ -66,7 +66,7 @@
         this->replies[reply->ticket] = reply->reply;
       if (const auto* note = std::get_if<NoteEvent>(&effect)) {
         if (note->event == Event::kJobWorkerLost)
-          node.lost_workers.push_back(note->detail);
+          node.lost_workers.push_back(note->fields[0].value);
       }
     }
   }
--- a/src/libjobs/job_table.cc
+++ b/src/libjobs/job_table.cc
@@ -55,7 +55,9 @@
   job.spec = spec;
   job.sequence = sequence;
   job.accepted_ms = this->group_time;
-  this->Note({.kind = JobEvent::Kind::kAccepted, .job = spec.id()});
+  this->Note({.kind = JobEvent::Kind::kAccepted,
+              .job = spec.id(),
+              .why = spec.queue()});
   if (spec.repeat_count() > 0) {
     this->timed.insert(sequence);
     return {};
--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -307,7 +307,7 @@
   this->Advance(now);
 }
 
-void WorkerAgent::OnWatched(const WatchCall& call,
+void WorkerAgent::OnWatched(const WatchCall&,
                             CallOutcome outcome,
                             const WorkerListing& listing,
                             TimePoint now) {
--- a/src/libreplay/trace.h
+++ b/src/libreplay/trace.h
@@ -79,7 +79,7 @@
   Milliseconds end{0};
 };
 
-/// Parses a trace text; docs/OPERATING.md gives the lines. Throws Error with
+/// Parses a trace text; docs/OPERATIONS.md gives the lines. Throws Error with
 /// the number of each bad line as its place.
 Trace ParseTrace(std::string_view text);
 
--- a/src/savoryringd/agent_duty.cc
+++ b/src/savoryringd/agent_duty.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "libbase/events.h"
+#include "libjobs/job_table.h"
 
 namespace savoryring {
 namespace {
@@ -146,7 +147,7 @@
       });
     } else if (const auto* pace = std::get_if<PaceCall>(&effect)) {
       LogEvent(Event::kJobRunPaced,
-               {{"task", pace->task.job()},
+               {{"task", TaskNameText(pace->task)},
                 {"percent", std::to_string(pace->percent)}});
       this->call_pool.Run([this, call = *pace] {
         const CallOutcome outcome = this->worker->Pace(call);
--- a/src/savoryringd/control_duty.cc
+++ b/src/savoryringd/control_duty.cc
@@ -237,6 +237,12 @@
   metrics.SetGauge("control_applied_index",
                    static_cast<double>(this->core.applied_index()));
   metrics.SetGauge("control_serves", this->core.Serves(now) ? 1 : 0);
+  metrics.SetGauge("control_term",
+                   static_cast<double>(this->core.replica().term()));
+  const JobTable& jobs = this->core.state().jobs();
+  metrics.SetGauge("jobs_known", static_cast<double>(jobs.jobs().size()));
+  metrics.SetGauge("jobs_ready_steps",
+                   static_cast<double>(jobs.ready_steps().size()));
 }
 
 void ControlDuty::OnBatchEnd(TimePoint now) {
@@ -291,7 +297,12 @@
       this->tickets.erase(found);
     } else {
       const auto& note = std::get<NoteEvent>(effect);
-      LogEvent(note.event, {{"what", note.detail}});
+      this->process->metrics().Count(
+          "event_" + std::to_string(static_cast<int>(note.event)));
+      if (note.fields.empty())
+        LogEvent(note.event, {{"what", note.detail}});
+      else
+        LogEvent(note.event, note.fields);
     }
   }
 }
--- a/src/savoryringd/main.cc
+++ b/src/savoryringd/main.cc
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <iostream>
 #include <memory>
-#include <ranges>
 #include <thread>
 #include <vector>
 
@@ -19,6 +18,7 @@
 #include "savoryringd/control_duty.h"
 #include "savoryringd/endpoint_duty.h"
 #include "savoryringd/entry_duty.h"
+#include "savoryringd/metrics_duty.h"
 #include "savoryringd/process.h"
 #include "savoryringd/settings_watch.h"
 
@@ -54,6 +54,8 @@
   }
   if (settings.entry)
     duties.push_back(std::make_unique<EntryDuty>(process));
+  if (!settings.metrics_http.empty())
+    duties.push_back(std::make_unique<MetricsDuty>(process));
   if (settings.platform)
     platform::AddDuties(process, duties);
   return duties;
@@ -90,16 +92,18 @@
     watch.RunUntilEnd(signals);
     Drain(duties, settings.timing);
     // Fronts stand behind the duties that they call, and stop first.
-    for (const auto& duty : std::views::reverse(duties))
-      duty->Stop();
+    std::for_each(duties.rbegin(), duties.rend(),
+                  [](const auto& duty) { duty->Stop(); });
   } catch (const Error& failure) {
     const Event event = failure.code() == ResultCode::kDamagedLog
                             ? Event::kLogDamaged
                             : Event::kStartFailed;
     LogEvent(event, {{"why", failure.what()}});
+    StopLog();
     throw;
   }
   LogEvent(Event::kStopped, {});
+  StopLog();
   return 0;
 }
 
