Slow a new fill at once by what was learned

Cause: a fill began at full speed and was paced only after the next list, up to half a second later and then by a late measurement; a serving task that it disturbs loses four times its share meanwhile. Change: when a fill has begun, the paces of the worker's fills are set by the couplings known. Test: the agent sends the pace before any list.

--- a/src/libjobs/pacer.cc
+++ b/src/libjobs/pacer.cc
@@ -44,37 +44,47 @@
 
 std::uint32_t Pacer::NextPace(const PacedRun& run,
                               double speed,
-                              bool stop) const {
+                              std::uint32_t gift) const {
   const std::uint32_t grain = this->options.grain_percent;
   const auto wanted =
-      stop ? 0U
-           : static_cast<std::uint32_t>(speed * kFullPercent / grain) * grain;
+      static_cast<std::uint32_t>(speed * kFullPercent / grain) * grain;
   const auto found = this->sent.find(run.task);
   if (found == this->sent.end() || found->second.run != run.run)
     return wanted;
-  const std::uint32_t before = found->second.percent;
-  return std::min(wanted, before + this->options.gift_percent);
+  return std::min(wanted, found->second.percent + gift);
 }
 
 std::vector<PaceChange> Pacer::OnList(const std::vector<PacedRun>& runs,
                                       TimePoint now) {
-  std::vector<PaceChange> changes;
-  const bool due = now >= this->next_step;
-  if (!due)
-    return changes;
+  if (now < this->next_step)
+    return {};
   this->next_step = now + this->options.step;
-  const std::vector<SharedRun> shared = ToSharedRuns(runs);
-  this->model.Learn(kWorker, shared);
-  const std::vector<double> speeds = this->model.Speeds(shared, false);
+  this->model.Learn(kWorker, ToSharedRuns(runs));
+  return this->Changes(runs, true, now);
+}
+
+std::vector<PaceChange> Pacer::OnNewFill(const std::vector<PacedRun>& runs,
+                                         TimePoint now) {
+  return this->Changes(runs, false, now);
+}
+
+std::vector<PaceChange> Pacer::Changes(const std::vector<PacedRun>& runs,
+                                       bool may_give,
+                                       TimePoint now) {
+  const std::vector<double> speeds =
+      this->model.Speeds(ToSharedRuns(runs), false);
   const bool stop = this->IsOverForLong(runs, now);
+  const std::uint32_t gift = may_give ? this->options.gift_percent : 0;
+  std::vector<PaceChange> changes;
   this->lowest = kFullPercent;
   for (std::size_t i = 0; i < runs.size(); ++i) {
     const PacedRun& run = runs[i];
     if (!run.fills)
       continue;
-    const PaceChange change{.task = run.task,
-                            .run = run.run,
-                            .percent = this->NextPace(run, speeds[i], stop)};
+    const PaceChange change{
+        .task = run.task,
+        .run = run.run,
+        .percent = this->NextPace(run, stop ? 0 : speeds[i], gift)};
     const auto found = this->sent.find(run.task);
     const bool same = found != this->sent.end() &&
                       found->second.run == run.run &&
--- a/src/libjobs/pacer.h
+++ b/src/libjobs/pacer.h
@@ -52,6 +52,10 @@
   /// Takes a whole list of the worker's runs; returns what must change.
   std::vector<PaceChange> OnList(const std::vector<PacedRun>& runs,
                                  TimePoint now);
+  /// Slows fills at once for one that has just begun, by what was learned
+  /// before; `runs` is the last list with that one added.
+  std::vector<PaceChange> OnNewFill(const std::vector<PacedRun>& runs,
+                                    TimePoint now);
   /// A run began, at full speed. Of any other run the pace is not known.
   void OnStarted(const std::string& task, std::uint32_t run);
   void OnEnded(const std::string& task);
@@ -61,8 +65,13 @@
   std::uint32_t percent() const { return this->lowest; }
 
  private:
+  std::vector<PaceChange> Changes(const std::vector<PacedRun>& runs,
+                                  bool may_give,
+                                  TimePoint now);
   bool IsOverForLong(const std::vector<PacedRun>& runs, TimePoint now);
-  std::uint32_t NextPace(const PacedRun& run, double speed, bool stop) const;
+  std::uint32_t NextPace(const PacedRun& run,
+                         double speed,
+                         std::uint32_t gift) const;
 
   PacerOptions options;
   SharingModel model;
--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -261,8 +261,10 @@
   ordered.retry_deadline = now + this->options.retry;
   if (outcome == CallOutcome::kDone) {
     ordered.confirmed = true;
-    if (call.order.fills())
+    if (call.order.fills()) {
       this->pacer.OnStarted(name, call.order.run());
+      this->SendPaces(this->pacer.OnNewFill(this->PacedRuns(), now));
+    }
     this->news = true;
   }
   if (outcome == CallOutcome::kNoAnswer || outcome == CallOutcome::kRefused)
@@ -354,7 +356,7 @@
     this->AddRejected(stopping.task, stopping.run);
     return true;
   });
-  this->Pace(now);
+  this->SendPaces(this->pacer.OnList(this->PacedRuns(), now));
   this->Advance(now);
 }
 
@@ -367,23 +369,44 @@
   this->news = true;
 }
 
-void WorkerAgent::Pace(TimePoint now) {
+// The listed runs, and fills that have begun since.
+std::vector<PacedRun> WorkerAgent::PacedRuns() const {
   std::vector<PacedRun> runs;
   for (const auto& [name, run] : this->listed) {
     const auto start = this->starts.find(name);
     const bool known =
         start != this->starts.end() && start->second.order.run() == run.run;
-    runs.push_back(
-        {.task = name,
-         .run = run.run,
-         .image = known ? start->second.order.image() : "",
-         .fills = known && start->second.order.fills(),
-         .cpu_milli = known ? start->second.order.cpu_milli() : 0U,
-         .tail_target_ms = known ? start->second.order.tail_target_ms() : 0U,
-         .measured = run.measured});
+    const wire::StartOrder order =
+        known ? start->second.order : wire::StartOrder();
+    runs.push_back({.task = name,
+                    .run = run.run,
+                    .image = order.image(),
+                    .fills = order.fills(),
+                    .cpu_milli = order.cpu_milli(),
+                    .tail_target_ms = order.tail_target_ms(),
+                    .measured = run.measured});
+  }
+  for (const auto& [name, ordered] : this->starts) {
+    const wire::StartOrder& order = ordered.order;
+    const bool fresh = ordered.confirmed && order.fills() &&
+                       this->ListedRunNumber(name) != order.run();
+    if (!fresh)
+      continue;
+    runs.push_back({.task = name,
+                    .run = order.run(),
+                    .image = order.image(),
+                    .fills = true,
+                    .cpu_milli = order.cpu_milli()});
   }
-  for (const PaceChange& change : this->pacer.OnList(runs, now)) {
-    this->effects.emplace_back(PaceCall{.task = this->listed[change.task].task,
+  return runs;
+}
+
+void WorkerAgent::SendPaces(const std::vector<PaceChange>& changes) {
+  for (const PaceChange& change : changes) {
+    const auto start = this->starts.find(change.task);
+    if (start == this->starts.end())
+      continue;
+    this->effects.emplace_back(PaceCall{.task = start->second.order.task(),
                                         .run = change.run,
                                         .percent = change.percent,
                                         .token = this->token});
--- a/src/libjobs/worker_agent.h
+++ b/src/libjobs/worker_agent.h
@@ -145,7 +145,8 @@
   void CallStarts(TimePoint now);
   void CallStops(TimePoint now);
   void CallWatch(TimePoint now);
-  void Pace(TimePoint now);
+  std::vector<PacedRun> PacedRuns() const;
+  void SendPaces(const std::vector<PaceChange>& changes);
   void NoteAnswer(CallOutcome outcome, TimePoint now);
   void AddRejected(const wire::TaskName& task, std::uint32_t run);
   bool IsGone(TimePoint now) const;
--- a/src/libjobs/worker_agent_test.cc
+++ b/src/libjobs/worker_agent_test.cc
@@ -273,4 +273,28 @@
   CHECK(this->paces[0].percent < 50);
 }
 
+TEST(WorkerAgent, AFillThatBeginsBesideABusyTaskIsSlowedAtOnce) {
+  this->Announce();
+  wire::AgentOrders orders = this->OrderStart("serving", 1);
+  orders.mutable_starts(0)->set_tail_target_ms(20);
+  this->Give(orders);
+  this->agent.OnStarted(this->starts[0], CallOutcome::kDone, this->now);
+  ListedRun serving = this->Running("serving", 1);
+  serving.measured = 5;
+  this->List({.running = {serving}});
+  serving.measured = 15;
+  this->Pass(Milliseconds(500));
+  this->List({.running = {serving}});
+  this->starts.clear();
+  wire::AgentOrders more = this->OrderStart("fill", 1);
+  more.mutable_starts(0)->set_fills(true);
+  more.mutable_starts(0)->set_cpu_milli(8000);
+  this->Give(more);
+  this->agent.OnStarted(this->starts[0], CallOutcome::kDone, this->now);
+  this->Collect();
+  // No list has come since.
+  LONGS_EQUAL(1, this->paces.size());
+  CHECK(this->paces[0].percent < 60);
+}
+
 }  // namespace savoryring
