--- a/src/libjobs/job_scheduler.h
+++ b/src/libjobs/job_scheduler.h
@@ -178,6 +178,12 @@
   std::vector<std::string> suspended;
 };
 
+/// A run of `step` as the sharing model takes it; `measured` is what its worker
+/// lists: tail latency in ms where it serves, else processors used in milli.
+SharedRun ToSharedRun(const std::string& name,
+                      const wire::JobStep& step,
+                      std::uint32_t measured);
+
 }  // namespace savoryring
 
 #endif  // SAVORYRING_LIBJOBS_JOB_SCHEDULER_H_
