Given-up workers return with their ends; no lease beside a loss; two replica faults

Change: ends, losses and registrations in one command; `listed` in reports; leases wait for a loss in the log; a rejection that names an earlier entry is acted on; committed entries are delivered in parts, with messages answered in between. Schedules can have workers that carry calls out late.

--- a/src/libjobs/job_scheduler.cc
+++ b/src/libjobs/job_scheduler.cc
@@ -68,6 +68,27 @@
   return false;
 }
 
+// Proposes the ends in the report that were not proposed yet. The table applies
+// them before the losses and registrations of the same command.
+void JobScheduler::AddNewEnds(const JobWorker& known,
+                              const wire::AgentReport& report,
+                              AgentState& agent_state,
+                              wire::JobCommand& command) {
+  const std::uint64_t seen_end =
+      std::max(agent_state.proposed_end, known.acknowledged);
+  const bool has_new_ends =
+      report.ends().up_to() > seen_end || report.rejected_size() > 0;
+  if (!has_new_ends)
+    return;
+  wire::WorkerEnds* ends = command.add_ends();
+  *ends = report.ends();
+  ends->set_agent(report.worker().agent());
+  ends->set_born_ms(report.worker().born_ms());
+  for (const wire::TaskEnd& end : report.rejected())
+    *ends->add_ends() = end;
+  agent_state.proposed_end = std::max(seen_end, report.ends().up_to());
+}
+
 std::optional<wire::JobCommand> JobScheduler::OnReport(
     const JobTable& table,
     const wire::AgentReport& report,
@@ -94,26 +115,30 @@
     agent_state.failed_jobs.clear();
     agent_state.suspended_until = TimePoint();
   }
+  const bool known_incarnation =
+      known != nullptr && IsSameIncarnation(known->description, worker);
+  const bool registered = known_incarnation && !known->lost;
   wire::JobCommand command;
-  const bool registered = known != nullptr && !known->lost &&
-                          IsSameIncarnation(known->description, worker);
   agent_state.worker_gone = report.worker_gone();
   if (agent_state.worker_gone) {
-    if (registered && agent_state.proposed_loss_born_ms != worker.born_ms()) {
-      agent_state.proposed_loss_born_ms = worker.born_ms();
-      *command.add_losses() =
-          this->MakeWorkerLoss(table, worker.agent(), "the worker is gone");
-      return command;
-    }
-    return std::nullopt;
+    if (!registered || IsLossInLog(agent_state))
+      return std::nullopt;
+    AddNewEnds(*known, report, agent_state, command);
+    this->AddLoss(table, worker.agent(), "the worker is gone", command);
+    return command;
   }
-  agent_state.proposed_loss_born_ms = 0;
+  // A worker that was given up may have ended runs that are not committed. It
+  // is taken up again together with its list of ends, so that none of them is
+  // started anew.
+  const bool skip_ends = this->options.mutations.register_before_ends;
+  const bool is_list_missing = report.has_listed() && !report.listed();
+  const bool may_register = !known_incarnation || !is_list_missing || skip_ends;
   const std::string description = ComparableDescription(worker);
   const bool changed =
       !registered || ComparableDescription(known->description) != description;
   const bool proposed = agent_state.proposed_description == description &&
                         now < agent_state.propose_deadline;
-  if (changed && !proposed) {
+  if (changed && !proposed && may_register) {
     *command.add_workers() = worker;
     agent_state.proposed_description = description;
     agent_state.propose_deadline = now + this->options.resend_interval;
@@ -121,19 +146,8 @@
   // As long as no lease is granted, the worker keeps no run beyond this.
   if (!registered)
     agent_state.max_lease_end = AddWithClockDrift(now, this->options.lease);
-  const std::uint64_t seen_end =
-      std::max(agent_state.proposed_end, registered ? known->acknowledged : 0);
-  const bool has_new_ends =
-      report.ends().up_to() > seen_end || report.rejected_size() > 0;
-  if (registered && has_new_ends) {
-    wire::WorkerEnds* ends = command.add_ends();
-    *ends = report.ends();
-    ends->set_agent(worker.agent());
-    ends->set_born_ms(worker.born_ms());
-    for (const wire::TaskEnd& end : report.rejected())
-      *ends->add_ends() = end;
-    agent_state.proposed_end = std::max(seen_end, report.ends().up_to());
-  }
+  if (known_incarnation && (registered || (may_register && !skip_ends)))
+    AddNewEnds(*known, report, agent_state, command);
   if (registered)
     this->UpdateRuns(table, agent_state, report, now);
   if (command.ends_size() == 0 && command.workers_size() == 0)
@@ -278,8 +292,10 @@
   AgentState& agent_state = this->agents[agent];
   const JobWorker* worker = table.FindWorker(agent);
   orders.set_echoed_ns(agent_state.last_report_sent_ns);
+  // A lease granted while a loss is in the log would keep runs going that the
+  // loss releases.
   const bool current = worker != nullptr && !worker->lost &&
-                       !agent_state.worker_gone &&
+                       !agent_state.worker_gone && !IsLossInLog(agent_state) &&
                        worker->description.born_ms() == agent_state.born_ms;
   if (!current)
     return orders;
@@ -357,6 +373,8 @@
 }
 
 void JobScheduler::OnEvent(const JobEvent& event, TimePoint now) {
+  if (event.kind == JobEvent::Kind::kWorkerLost)
+    this->agents[event.agent].loss_in_log_born_ms = 0;
   if (event.kind != JobEvent::Kind::kEnded)
     return;
   const bool ran = event.run_end != wire::RUN_END_LAPSED &&
@@ -416,15 +434,25 @@
     if (worker.lost || found == this->agents.end())
       continue;
     const AgentState& agent_state = found->second;
+    if (IsLossInLog(agent_state))
+      continue;
     const bool lost_early =
         this->options.mutations.give_up_early &&
         now > agent_state.last_report + this->options.unreachable_after;
     if (now > agent_state.max_lease_end || lost_early)
-      *command.add_losses() =
-          this->MakeWorkerLoss(table, agent, "its lease ended");
+      this->AddLoss(table, agent, "its lease ended", command);
   }
 }
 
+void JobScheduler::AddLoss(const JobTable& table,
+                           const std::string& agent,
+                           const std::string& why,
+                           wire::JobCommand& command) {
+  wire::WorkerLoss loss = this->MakeWorkerLoss(table, agent, why);
+  this->agents[agent].loss_in_log_born_ms = loss.born_ms();
+  *command.add_losses() = std::move(loss);
+}
+
 wire::WorkerLoss JobScheduler::MakeWorkerLoss(const JobTable& table,
                                               const std::string& agent,
                                               const std::string& why) const {
--- a/src/libjobs/job_scheduler.h
+++ b/src/libjobs/job_scheduler.h
@@ -26,6 +26,8 @@
   bool skip_predecessor_wait = false;
   /// Declares unreachable workers lost before their lease ends.
   bool give_up_early = false;
+  /// Takes up a worker that was given up before its ends are committed.
+  bool register_before_ends = false;
 };
 
 struct JobSchedulerOptions {
@@ -152,7 +154,8 @@
     std::uint64_t proposed_end = 0;  // ends up to this number were proposed
     std::string proposed_description;
     TimePoint propose_deadline;  // after it, the description is proposed again
-    std::int64_t proposed_loss_born_ms = 0;
+    // Incarnation whose loss is proposed and not yet applied; 0: none.
+    std::int64_t loss_in_log_born_ms = 0;
     std::map<TaskKey, TrackedRun> runs;
     std::vector<wire::StopOrder> orphan_stops;  // for runs without assignment
     TimePoint next_learning;
@@ -163,6 +166,10 @@
   };
   static bool IsStaleReport(AgentState& agent_state,
                             const wire::AgentReport& report);
+  static bool IsLossInLog(const AgentState& agent_state) {
+    return agent_state.loss_in_log_born_ms != 0 &&
+           agent_state.loss_in_log_born_ms == agent_state.born_ms;
+  }
   bool IsOnProbation(const AgentState& agent_state) const {
     return agent_state.failed_jobs.size() >=
            this->options.failed_jobs_to_suspend;
@@ -212,6 +219,10 @@
   };
   using Candidates = std::set<Candidate>;
 
+  static void AddNewEnds(const JobWorker& known,
+                         const wire::AgentReport& report,
+                         AgentState& agent_state,
+                         wire::JobCommand& command);
   void UpdateRuns(const JobTable& table,
                   AgentState& agent_state,
                   const wire::AgentReport& report,
@@ -273,6 +284,10 @@
                  const StepKey& key,
                  std::map<std::string, FreeCapacity>& capacities,
                  wire::JobCommand& command);
+  void AddLoss(const JobTable& table,
+               const std::string& agent,
+               const std::string& why,
+               wire::JobCommand& command);
   wire::WorkerLoss MakeWorkerLoss(const JobTable& table,
                                   const std::string& agent,
                                   const std::string& why) const;
--- a/src/libjobs/job_scheduler_test.cc
+++ b/src/libjobs/job_scheduler_test.cc
@@ -67,6 +67,15 @@
     const Job* found = this->table.Find(job);
     return found == nullptr ? 0 : found->assigned;
   }
+  // Adds the end of the first run of the job's only task.
+  void AddDoneEnd(wire::AgentReport & report, const std::string& job) {
+    wire::TaskEnd* end = report.mutable_ends()->add_ends();
+    end->set_number(1);
+    end->mutable_task()->set_job(job);
+    end->set_run(1);
+    end->set_how(wire::RUN_END_DONE);
+    report.mutable_ends()->set_up_to(1);
+  }
   void ApplyFailure(const std::string& agent, const TaskKey& key) {
     wire::JobCommand command;
     wire::WorkerEnds* worker_ends = command.add_ends();
@@ -157,6 +166,91 @@
   LONGS_EQUAL(1, this->table.FindWorker("b")->runs.size());
 }
 
+// The first run ended as done, but its end was not committed before the worker
+// was given up.
+TEST(JobScheduler, AWorkerThatIsTakenUpAgainBringsItsEnds) {
+  this->Deliver(this->Report("a"));
+  this->Submit("j", 1, 1000, 0);
+  this->Decide();
+  wire::AgentReport gone = this->Report("a");
+  gone.set_worker_gone(true);
+  this->Deliver(gone);
+  LONGS_EQUAL(0, this->CountRunning("j"));
+  this->now += Milliseconds(500);
+  wire::AgentReport back = this->Report("a");
+  back.set_listed(true);
+  this->AddDoneEnd(back, "j");
+  this->Deliver(back);
+  CHECK(!this->table.FindWorker("a")->lost);
+  this->Decide();
+  LONGS_EQUAL(0, this->CountRunning("j"));
+  CHECK(this->table.Find("j")->state == wire::JOB_STATE_COMPLETED);
+}
+
+// The agent is heard again after the loss was proposed: a lease granted then
+// would keep runs going that the loss releases when it is applied.
+TEST(JobScheduler, NoLeaseIsGrantedWhileALossIsInTheLog) {
+  this->Deliver(this->Report("a"));
+  this->Submit("j", 1, 1000, 0);
+  this->Decide();
+  this->now += Milliseconds(6200);
+  const auto loss =
+      this->scheduler.Decide(this->table, 0, this->group_time, this->now);
+  LONGS_EQUAL(1, loss->losses_size());
+  CHECK(!this->scheduler.OnReport(this->table, this->Report("a"), this->now));
+  LONGS_EQUAL(
+      0, this->scheduler.OrdersFor(this->table, "a", this->now).lease_ms());
+  this->Apply(*loss);
+  this->Deliver(this->Report("a"));
+  CHECK(this->scheduler.OrdersFor(this->table, "a", this->now).lease_ms() > 0);
+}
+
+TEST(JobScheduler, NoLeaseIsGrantedWhileTheLossOfAGoneWorkerIsInTheLog) {
+  this->Deliver(this->Report("a"));
+  this->Submit("j", 1, 1000, 0);
+  this->Decide();
+  wire::AgentReport gone = this->Report("a");
+  gone.set_worker_gone(true);
+  const auto loss = this->scheduler.OnReport(this->table, gone, this->now);
+  LONGS_EQUAL(1, loss->losses_size());
+  this->now += Milliseconds(20);
+  CHECK(!this->scheduler.OnReport(this->table, this->Report("a"), this->now));
+  LONGS_EQUAL(
+      0, this->scheduler.OrdersFor(this->table, "a", this->now).lease_ms());
+}
+
+TEST(JobScheduler, AWorkerIsTakenUpAgainOnlyWithItsList) {
+  this->Deliver(this->Report("a"));
+  this->Submit("j", 1, 1000, 0);
+  this->Decide();
+  wire::AgentReport gone = this->Report("a");
+  gone.set_worker_gone(true);
+  this->Deliver(gone);
+  this->now += Milliseconds(500);
+  wire::AgentReport back = this->Report("a");
+  back.set_listed(false);
+  this->Deliver(back);
+  this->Decide();
+  CHECK(this->table.FindWorker("a")->lost);
+  LONGS_EQUAL(0, this->CountRunning("j"));
+  back.set_listed(true);
+  this->Deliver(back);
+  this->Decide();
+  LONGS_EQUAL(1, this->CountRunning("j"));
+}
+
+TEST(JobScheduler, EndsThatAGoneWorkerListedAreKept) {
+  this->Deliver(this->Report("a"));
+  this->Submit("j", 1, 1000, 0);
+  this->Decide();
+  wire::AgentReport gone = this->Report("a");
+  gone.set_worker_gone(true);
+  this->AddDoneEnd(gone, "j");
+  this->Deliver(gone);
+  CHECK(this->table.FindWorker("a")->lost);
+  CHECK(this->table.Find("j")->state == wire::JOB_STATE_COMPLETED);
+}
+
 TEST(JobScheduler, AWorkerWhereSeveralJobsFailIsSuspended) {
   this->Deliver(this->Report("a"));
   for (int round = 0; round < 3; ++round) {
--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -476,6 +476,7 @@
   report.mutable_worker()->set_agent(this->options.agent);
   if (this->worker)
     *report.mutable_worker() = *this->worker;
+  report.set_listed(this->has_list && this->list_is_current);
   if (this->worker && this->IsWorkerGone(now)) {
     report.set_worker_gone(true);
     this->last_gone_report_ns = report.sent_ns();
--- a/src/libjobs/worker_agent_test.cc
+++ b/src/libjobs/worker_agent_test.cc
@@ -112,6 +112,20 @@
   }
 }
 
+TEST(WorkerAgent, ReportsTellWhetherTheListIsCurrent) {
+  this->Announce();
+  this->DeliverOrders(this->Orders());
+  this->AdvanceTime(Milliseconds(600));
+  CHECK(this->reports.back().has_listed());
+  CHECK(!this->reports.back().listed());
+  this->AnswerWatch({});
+  this->AdvanceTime(Milliseconds(600));
+  CHECK(this->reports.back().listed());
+  this->AnswerWatch({}, CallOutcome::kNoAnswer);
+  this->AdvanceTime(Milliseconds(600));
+  CHECK(!this->reports.back().listed());
+}
+
 TEST(WorkerAgent, ADrainingWorkerGetsNothingNew) {
   this->Announce();
   wire::JobWorkerDescription worker = *this->agent.description();
--- a/src/libreplication/replica.cc
+++ b/src/libreplication/replica.cc
@@ -12,6 +12,10 @@
 // Duration of the leader lease as a fraction of the election timeout. The
 // remainder allows for clocks that run at different speeds.
 constexpr double kLeaseFraction = 0.8;
+// Limits on the committed entries of one output. The owner can send heartbeats
+// between two outputs while it applies a long log.
+constexpr std::size_t kMaxDeliveredEntries = 512;
+constexpr std::size_t kMaxDeliveredBytes = 256U << 10U;
 
 }  // namespace
 
@@ -102,9 +106,24 @@
     this->output.hard_state = this->hard_state;
     this->hard_state_changed = false;
   }
+  this->DeliverCommitted();
   return std::exchange(this->output, {});
 }
 
+// The rest of a long log is delivered with the next outputs.
+void Replica::DeliverCommitted() {
+  std::size_t bytes = 0;
+  while (this->delivered_index < this->committed_index &&
+         this->output.committed.size() < kMaxDeliveredEntries &&
+         bytes < kMaxDeliveredBytes) {
+    this->delivered_index += 1;
+    const wire::LogEntry& entry =
+        this->log[this->delivered_index - this->snapshot_index - 1];
+    bytes += entry.command().size();
+    this->output.committed.push_back(entry);
+  }
+}
+
 void Replica::OnStored(TimePoint) {
   this->durable_index = this->last_index();
   if (this->IsLeader())
@@ -466,7 +485,6 @@
       std::min(this->snapshot_index, this->committed_index));
   this->committed_index =
       std::max(this->committed_index, std::min(request.commit_index(), match));
-  this->DeliverCommitted();
   this->SendAppendReply(message, true, match, request.sent_ns());
 }
 
--- a/src/libreplication/replica.h
+++ b/src/libreplication/replica.h
@@ -74,6 +74,8 @@
   /// entry and all later ones.
   std::vector<wire::LogEntry> append;
   std::vector<OutgoingReplicaMessage> messages;
+  /// A part of the committed entries that were not delivered yet; empty only if
+  /// there are none.
   std::vector<wire::LogEntry> committed;
 
   bool NeedsStore() const {
@@ -153,7 +155,8 @@
     TimePoint last_heard;            // when the peer last replied
     TimePoint confirmed_send_time;   // latest send time that the peer echoed
     TimePoint resend_deadline;       // when unacknowledged entries are resent
-    TimePoint rejection_deadline;    // rejections are ignored until then
+    TimePoint rejection_deadline;    // later ones are ignored until then
+    std::uint64_t rejected_match_index = 0;  // named by the latest rejection
   };
 
   void ReceiveHello(const wire::ReplicaMessage& message, TimePoint now);
--- a/src/libreplication/replica_leader.cc
+++ b/src/libreplication/replica_leader.cc
@@ -122,12 +122,15 @@
   progress.confirmed_send_time =
       std::max(progress.confirmed_send_time, FromNanoseconds(reply.sent_ns()));
   if (!reply.accepted()) {
-    // Several messages in flight may be rejected. Only the first rejection
-    // triggers an immediate resend; responding to each one would multiply the
-    // messages to a peer that rejects all of them.
-    if (now < progress.rejection_deadline)
+    // Several messages in flight may be rejected. Responding to each rejection
+    // would multiply the messages to a peer that rejects all of them. One that
+    // names an earlier entry than the last answers the resent entries.
+    const bool names_earlier_entry =
+        reply.match_index() < progress.rejected_match_index;
+    if (now < progress.rejection_deadline && !names_earlier_entry)
       return;
     progress.rejection_deadline = now + this->options.heartbeat_interval / 2;
+    progress.rejected_match_index = reply.match_index();
     progress.next_index =
         std::max(progress.match_index, reply.match_index()) + 1;
     progress.next_index = std::min(progress.next_index, this->last_index() + 1);
@@ -198,15 +201,6 @@
   if (this->TermAt(quorum_index) != this->term())
     return;
   this->committed_index = quorum_index;
-  this->DeliverCommitted();
-}
-
-void Replica::DeliverCommitted() {
-  while (this->delivered_index < this->committed_index) {
-    this->delivered_index += 1;
-    this->output.committed.push_back(
-        this->log[this->delivered_index - this->snapshot_index - 1]);
-  }
 }
 
 // Proposes at most one membership change. A replica that lost its disk returns
--- a/src/savoryringd/control_duty.cc
+++ b/src/savoryringd/control_duty.cc
@@ -14,6 +14,8 @@
 // The connection to a replica that does not answer within this many heartbeat
 // intervals is replaced.
 constexpr int kPeerTimeoutHeartbeats = 4;
+// Well below the heartbeat interval of the replicas.
+constexpr Milliseconds kMaxFlushTime{30};
 
 std::vector<std::string> PeerIds(const std::vector<ControlPeer>& controls) {
   std::vector<std::string> ids;
@@ -258,7 +260,10 @@
   this->RunEffects(now);
 }
 
+// Applies the committed entries that are left after kMaxFlushTime in the next
+// turn of the loop, so that heartbeats are answered in between.
 void ControlDuty::Flush(TimePoint now) {
+  const TimePoint deadline = BootClock::now() + kMaxFlushTime;
   while (true) {
     const ReplicaOutput output = this->core.TakeOutput(now);
     if (output.NeedsStore())
@@ -268,6 +273,10 @@
       this->SendReplicaMessage(outgoing, now);
     if (this->core.IsSettled())
       break;
+    if (BootClock::now() > deadline) {
+      this->link.Wake();
+      break;
+    }
   }
   this->link.SetRevision(this->core.state().estate().revision());
 }
--- a/testsuite/schedule/fault_driver.cc
+++ b/testsuite/schedule/fault_driver.cc
@@ -29,6 +29,12 @@
           .network = {.loss_rate = 0.01, .long_delay_rate = 0.01}};
 }
 
+FaultPlan LongAgentIsolationWithLateCalls() {
+  FaultPlan plan = LongAgentIsolation();
+  plan.network.late_call_rate = 0.5;
+  return plan;
+}
+
 FaultPlan AllJobFaults() {
   return {.kill_control = Milliseconds(5000),
           .freeze = Milliseconds(3000),
--- a/testsuite/schedule/fault_driver.h
+++ b/testsuite/schedule/fault_driver.h
@@ -35,6 +35,9 @@
 FaultPlan AllFaults();
 /// Repeatedly isolates agents from the leader for longer than their leases.
 FaultPlan LongAgentIsolation();
+/// The same while every second call to a worker is carried out late, so that
+/// start calls are still unconfirmed when the agent's lease ends.
+FaultPlan LongAgentIsolationWithLateCalls();
 /// All kinds of faults of an estate with jobs, each every few seconds, except
 /// the isolation of agents.
 FaultPlan AllJobFaults();
--- a/testsuite/schedule/job_ledger.cc
+++ b/testsuite/schedule/job_ledger.cc
@@ -159,6 +159,8 @@
     if (found == incarnation.ends.end())
       throw Violation("noted: an end that " + incarnation_name +
                       " never listed");
+    if (found->first <= incarnation.void_up_to)
+      continue;
     if (found->second.how == wire::RUN_END_DONE)
       this->acknowledged_done.insert(found->second.task);
     if (found->second.how == wire::RUN_END_FAILED)
@@ -166,6 +168,12 @@
   }
 }
 
+void JobLedger::OnHoldLapsed(const std::string& incarnation_name) {
+  Incarnation& incarnation = this->incarnations[incarnation_name];
+  if (!incarnation.ends.empty())
+    incarnation.void_up_to = incarnation.ends.rbegin()->first;
+}
+
 void JobLedger::OnIncarnationEnded(const std::string& incarnation_name) {
   for (const std::string& task : this->incarnations[incarnation_name].running)
     this->running_on.erase(task);
--- a/testsuite/schedule/job_ledger.h
+++ b/testsuite/schedule/job_ledger.h
@@ -47,6 +47,10 @@
                    const ModelRunChange& change);
   /// The worker was told that its run ends up to this number are recorded.
   void OnEndsAcknowledged(const std::string& incarnation, std::uint64_t up_to);
+  /// The worker's hold has expired. An end that it had listed by then and that
+  /// is acknowledged later does not count as recorded: the leader was entitled
+  /// to give the run up in between.
+  void OnHoldLapsed(const std::string& incarnation);
   /// The incarnation is gone, with all runs in it.
   void OnIncarnationEnded(const std::string& incarnation);
 
@@ -68,6 +72,7 @@
     std::set<std::string> running;
     std::map<std::uint64_t, End> ends;
     std::uint64_t acknowledged_up_to = 0;
+    std::uint64_t void_up_to = 0;  // ends listed before the hold expired
     WorkerCapacity used;
     std::map<std::string, std::uint32_t> runs_of_step;
   };
--- a/testsuite/schedule/job_nodes.cc
+++ b/testsuite/schedule/job_nodes.cc
@@ -16,8 +16,7 @@
 constexpr Milliseconds kCallTimeout{1000};
 // A gateway refuses a call after this time if no leader can have accepted it.
 constexpr Milliseconds kRefuseAfter{1200};
-// Probability that a call is carried out late, and the longest delay.
-constexpr double kLateCallRate = 0.02;
+// Longest delay of a call that is carried out late.
 constexpr Milliseconds kMaxCallDelay{4000};
 // Probability that the answer to a call is lost.
 constexpr double kLostAnswerRate = 0.02;
@@ -45,6 +44,7 @@
   this->alive = true;
   this->draining = false;
   this->worker = ModelWorker();
+  this->seen_hold_lapses = 0;
   this->born_ms = ToMilliseconds(this->test_estate->simulation.now());
   this->Announce(this->born_ms);
 }
@@ -106,6 +106,12 @@
         (change.started ? "" : RunEndName(change.how)));
     ledger.OnRunChange(this->IncarnationName(), kWorkerCapacity, change);
   }
+  if (this->worker.hold_lapses() != this->seen_hold_lapses) {
+    this->seen_hold_lapses = this->worker.hold_lapses();
+    this->test_estate->simulation.Trace(this->IncarnationName() +
+                                        " hold expires");
+    ledger.OnHoldLapsed(this->IncarnationName());
+  }
   ledger.OnEndsAcknowledged(this->IncarnationName(),
                             this->worker.acknowledged());
 }
@@ -115,7 +121,8 @@
                       AnswerCallback on_outcome) {
   Simulation& simulation = this->test_estate->simulation;
   Milliseconds delay = simulation.RandomTime(Milliseconds(0), Milliseconds(4));
-  if (simulation.faults.loss_rate > 0 && simulation.Chance(kLateCallRate))
+  if (simulation.faults.loss_rate > 0 &&
+      simulation.Chance(simulation.faults.late_call_rate))
     delay += simulation.RandomTime(Milliseconds(10), kMaxCallDelay);
   simulation.RunAfter(delay, [this, born_ms, call = std::move(call),
                               on_outcome = std::move(on_outcome)] {
--- a/testsuite/schedule/job_nodes.h
+++ b/testsuite/schedule/job_nodes.h
@@ -52,6 +52,7 @@
   AgentNode* agent;
   DriftingClock clock;
   ModelWorker worker;
+  std::uint64_t seen_hold_lapses = 0;
   std::int64_t born_ms = 0;
   bool alive = false;
   bool draining = false;
--- a/testsuite/schedule/job_schedule.cc
+++ b/testsuite/schedule/job_schedule.cc
@@ -249,7 +249,29 @@
   return gateway->IsAlive() ? gateway : nullptr;
 }
 
+// The state of the replicas, for a seed in which none of them serves.
+void JobSchedule::TraceReplicas() {
+  for (const auto& node : this->estate.controls) {
+    if (!node->IsAlive()) {
+      this->estate.simulation.Trace(node->name() + " replica: down");
+      continue;
+    }
+    const Replica& replica = node->core()->replica();
+    std::string line =
+        node->name() + " replica: role " +
+        std::to_string(static_cast<int>(replica.current_role())) + " term " +
+        std::to_string(replica.term()) + " last " +
+        std::to_string(replica.last_index()) + " committed " +
+        std::to_string(replica.commit_index()) + " applied " +
+        std::to_string(node->core()->applied_index()) + " voters";
+    for (const MemberId& voter : replica.voters())
+      line += " " + voter.id + "/" + std::to_string(voter.incarnation);
+    this->estate.simulation.Trace(line);
+  }
+}
+
 void JobSchedule::CheckAllDone() {
+  this->TraceReplicas();
   const ControlNode* leader = this->estate.Leader();
   if (leader == nullptr)
     throw Violation("done: no leader after healing");
--- a/testsuite/schedule/job_schedule.h
+++ b/testsuite/schedule/job_schedule.h
@@ -36,6 +36,7 @@
   GatewayNode* RandomGateway();
   std::string RandomJob();
   std::string CreateJob();
+  void TraceReplicas();
   void CheckAllDone();
 
   FaultDriver faults;
--- a/testsuite/schedule/job_schedule_test.cc
+++ b/testsuite/schedule/job_schedule_test.cc
@@ -50,4 +50,8 @@
   ExpectNoViolation(3, LongAgentIsolation(), 20);
 }
 
+TEST(JobSchedule, WorkersThatAnswerLateBesideAgentsThatAreCutOff) {
+  ExpectNoViolation(3, LongAgentIsolationWithLateCalls(), 20);
+}
+
 }  // namespace savoryring
--- a/testsuite/schedule/node.cc
+++ b/testsuite/schedule/node.cc
@@ -18,6 +18,7 @@
   if (this->alive || this->retired)
     return;
   this->alive = true;
+  this->simulation().Trace(this->node_name + " starts");
   this->start_count += 1;
   this->frozen_until = TimePoint();
   this->incarnation = this->test_estate->next_incarnation++;
@@ -29,6 +30,7 @@
   if (!this->alive)
     return;
   this->alive = false;
+  this->simulation().Trace(this->node_name + " is killed");
   this->OnKill();
   this->ledger().ForgetProcess(this->node_name);
 }
--- a/testsuite/schedule/nodes.cc
+++ b/testsuite/schedule/nodes.cc
@@ -157,8 +157,27 @@
     this->ledger().OnInForce(this->name(), estate.revision(), estate.text());
 }
 
+void ControlNode::TraceMessage(const OutgoingReplicaMessage& outgoing) const {
+  const wire::ReplicaMessage& message = outgoing.message;
+  std::string line = this->name() + " to " + outgoing.to + " term " +
+                     std::to_string(message.term());
+  if (message.has_append_request()) {
+    const wire::AppendRequest& request = message.append_request();
+    line += " append after " + std::to_string(request.previous_index()) + ": " +
+            std::to_string(request.entries_size());
+  } else if (message.has_append_reply()) {
+    const wire::AppendReply& reply = message.append_reply();
+    line += std::string(reply.accepted() ? " accepted" : " rejected") + " at " +
+            std::to_string(reply.match_index());
+  } else {
+    line += " message " + std::to_string(static_cast<int>(message.body_case()));
+  }
+  this->simulation().Trace(line);
+}
+
 void ControlNode::Send(const ReplicaOutput& output) {
   for (const OutgoingReplicaMessage& outgoing : output.messages) {
+    this->TraceMessage(outgoing);
     auto* to = static_cast<ControlNode*>(this->test_estate->Find(outgoing.to));
     const auto deliver = [to, message = outgoing.message] {
       to->OnReplicaMessage(message);
--- a/testsuite/schedule/nodes.h
+++ b/testsuite/schedule/nodes.h
@@ -78,6 +78,7 @@
   void RunEffects();
   void CheckInvariants(const ReplicaOutput& output);
   void TraceEvent(const OperatorEvent& event);
+  void TraceMessage(const OutgoingReplicaMessage& outgoing) const;
 
   Disk disk;
   std::unique_ptr<ControlCore> control;
--- a/testsuite/schedule/virtual_world.h
+++ b/testsuite/schedule/virtual_world.h
@@ -25,6 +25,9 @@
   /// Probability that a process crashes before a disk write, and again after
   /// it.
   double crash_rate = 0;
+  /// Probability that a worker carries out a call late, if messages get lost
+  /// too.
+  double late_call_rate = 0.02;
 };
 
 /// Sender and receiver of messages.
--- a/testsuite/workers/model_worker.cc
+++ b/testsuite/workers/model_worker.cc
@@ -158,6 +158,11 @@
   }
   for (const auto& [name, how] : ended_runs)
     this->EndRun(name, how, now);
+  const bool lapsed = this->hold_end != TimePoint() && now >= this->hold_end;
+  if (lapsed && this->lapsed_hold_end != this->hold_end) {
+    this->lapsed_hold_end = this->hold_end;
+    this->lapse_count += 1;
+  }
 }
 
 void ModelWorker::EndRun(const std::string& name,
--- a/testsuite/workers/model_worker.h
+++ b/testsuite/workers/model_worker.h
@@ -62,6 +62,8 @@
 
   bool HasUnacknowledgedEnds() const { return !this->ends.empty(); }
   std::uint64_t acknowledged() const { return this->acknowledged_up_to; }
+  /// How often the hold has expired.
+  std::uint64_t hold_lapses() const { return this->lapse_count; }
   std::vector<ModelRunChange> TakeChanges();
 
  private:
@@ -89,6 +91,8 @@
   std::uint64_t last_end_number = 0;
   std::uint64_t acknowledged_up_to = 0;
   TimePoint hold_end;
+  TimePoint lapsed_hold_end;  // the latest hold that has expired
+  std::uint64_t lapse_count = 0;
   std::map<std::string, Running> running;
   std::map<std::string, std::uint32_t> highest_ended_runs;  // by task
   std::vector<wire::TaskEnd> ends;
