Jobs with the least work left first; latencies are read behind their moving average

Under overload all jobs that can still be in time share the workers by due time, so that most become late. And the tail latency that a worker lists is a moving average: after a speed was cut it goes 234, 145, 81, 28, 16 ms in half seconds, and speeds were cut on down to 5% while it fell; as it rose with the serving tasks' own load, they were cut too late. Change: among jobs that can be in time, the one with the least work left is placed first. Latency, own load and its trend are taken from behind the moving average; the error of latencies listed in whole ms weighs what is learned. Speeds may be raised at once; 0.95 of the target, 0.5 of the request and an initial coupling of 0.04 replace 0.9, 0.7 and 0.08. Tests: OfTwoJobsTheOneWithLessWorkLeft..., ASuddenRise..., AGrowingOwnLoad... fail on the old code. The simulated worker of the colocation tests now lists a moving average, is alone at first, and its busy task is busier; what must be learned from it is as before, and the old model fails it.

--- a/src/libjobs/best_effort_throttler.h
+++ b/src/libjobs/best_effort_throttler.h
@@ -22,7 +22,7 @@
   /// best-effort task on the worker is stopped, whatever the model predicts.
   Milliseconds max_time_over_target{1800};
   /// Largest increase of a speed per measurement, in percent of full speed.
-  std::uint32_t max_increase_percent = 30;
+  std::uint32_t max_increase_percent = 100;
   /// Speeds are rounded down to multiples of this, to save calls.
   std::uint32_t speed_granularity_percent = 5;
 };
--- a/src/libjobs/colocation_model.cc
+++ b/src/libjobs/colocation_model.cc
@@ -15,9 +15,28 @@
 constexpr double kMaxCoupling = 1.0;
 // Close to full load, the latency hardly tells how much load is too much.
 constexpr double kSaturatedUtilization = 0.93;
+// A latency that falls below this fraction of the one before tells little about
+// where it ends.
+constexpr double kMinLatencyRatio = 0.5;
 // Limits the number of serving tasks whose last measurement is kept.
 constexpr std::size_t kMaxServingLoads = 20'000;
 
+// Relative error of a utilization whose latency is listed in whole ms. It is
+// large close to the idle latency.
+double RoundingError(double idle_ms, double latency_ms) {
+  constexpr double kRoundingMs = 0.5;
+  constexpr double kMinQueueingMs = 0.1;
+  return kRoundingMs * idle_ms /
+         (latency_ms * std::max(kMinQueueingMs, latency_ms - idle_ms));
+}
+
+// Weight of a growth between two utilizations with these errors.
+double Weight(double error_before, double error_after) {
+  constexpr double kToleratedError = 0.05;
+  const double square = error_before * error_before + error_after * error_after;
+  return 1 / (1 + square / (kToleratedError * kToleratedError));
+}
+
 std::map<std::string, double> CpusUsedByImage(
     const std::vector<ColocatedRun>& runs) {
   std::map<std::string, double> cpus_used;
@@ -36,7 +55,27 @@
       found == this->images.end()
           ? kInitialIdleTargetFraction * serving.tail_target_ms
           : found->second.idle_ms;
-  return std::max(kMinUtilization, 1 - idle_ms / serving.tail_latency_ms);
+  return std::max(kMinUtilization, 1 - idle_ms / this->CurrentLatency(serving));
+}
+
+// The latency behind the moving average that the worker lists.
+double ColocationModel::CurrentLatency(const ColocatedRun& serving) const {
+  const double listed = serving.tail_latency_ms;
+  const auto found = this->serving_loads.find(serving.task);
+  if (found == this->serving_loads.end())
+    return listed;
+  const double weight = this->options.newest_weight;
+  const double change = listed - found->second.tail_latency_ms;
+  return std::max(listed + (1 - weight) / weight * change,
+                  kMinLatencyRatio * listed);
+}
+
+// A load that grows is predicted ahead, as measurements arrive late.
+double ColocationModel::PredictedLoad(const ServingLoad& load,
+                                      bool smoothed) const {
+  const double growth =
+      this->options.prediction_steps * std::max(0.0, load.trend);
+  return smoothed ? std::max(load.own, load.smoothed) : load.own + growth;
 }
 
 double ColocationModel::Coupling(const std::string& serving_image,
@@ -75,16 +114,25 @@
     image.idle_ms = std::min(image.idle_ms, idle_ms);
     const double utilization = this->EstimateUtilization(run);
     const auto known = before.serving_loads.find(run.task);
+    const double rounding = RoundingError(image.idle_ms, run.tail_latency_ms);
     if (known != before.serving_loads.end() &&
-        utilization < kSaturatedUtilization) {
-      this->UpdateCouplings(run.image, before.cpus_used, cpus_used,
-                            std::log(utilization / known->second.utilization));
+        utilization < kSaturatedUtilization &&
+        known->second.utilization < kSaturatedUtilization) {
+      this->UpdateCouplings(
+          run.image, before.cpus_used, cpus_used,
+          {.log_growth = std::log(utilization / known->second.utilization),
+           .weight = Weight(rounding, known->second.rounding)});
     }
     ServingLoad& load = this->serving_loads[run.task];
-    load.utilization = utilization;
-    load.own = utilization / (1 + this->Interference(run.image, cpus_used));
+    const double own =
+        utilization / (1 + this->Interference(run.image, cpus_used));
     if (load.smoothed == 0)
-      load.smoothed = load.own;
+      load.smoothed = load.own = own;
+    load.trend += this->options.trend_factor * (own - load.own - load.trend);
+    load.utilization = utilization;
+    load.own = own;
+    load.tail_latency_ms = run.tail_latency_ms;
+    load.rounding = rounding;
     load.smoothed +=
         this->options.smoothing_factor * (load.own - load.smoothed);
     observation.serving_loads[run.task] = load;
@@ -101,7 +149,7 @@
     const std::string& serving_image,
     const std::map<std::string, double>& before,
     const std::map<std::string, double>& after,
-    double log_growth) {
+    const MeasuredGrowth& growth) {
   std::map<std::string, double> change = after;
   for (const auto& [image, cpus] : before)
     change[image] -= cpus;
@@ -114,7 +162,7 @@
   const double expected =
       std::log((1 + this->Interference(serving_image, after)) /
                (1 + this->Interference(serving_image, before)));
-  const double error = log_growth - expected;
+  const double error = growth.weight * (growth.log_growth - expected);
   const double scale = 1 + this->Interference(serving_image, after);
   auto& estimates = this->couplings[serving_image];
   for (const auto& [image, cpus] : change) {
@@ -184,9 +232,7 @@
   const double max_utilization =
       1 - image->second.idle_ms /
               (this->options.max_target_fraction * serving.tail_target_ms);
-  const double own = smoothed
-                         ? std::max(found->second.own, found->second.smoothed)
-                         : found->second.own;
+  const double own = this->PredictedLoad(found->second, smoothed);
   return std::max(0.0, max_utilization / std::max(kMinUtilization, own) - 1);
 }
 
--- a/src/libjobs/colocation_model.h
+++ b/src/libjobs/colocation_model.h
@@ -33,9 +33,9 @@
 
 struct ColocationModelOptions {
   /// Fraction of its latency target that a serving task may reach.
-  double max_target_fraction = 0.9;
+  double max_target_fraction = 0.95;
   /// Coupling, per processor, of two images without measurements.
-  double initial_coupling = 0.08;
+  double initial_coupling = 0.04;
   /// Step size of the normalized least-mean-squares update.
   double learning_rate = 0.25;
   /// Smallest change of the best-effort CPU use, in processors, that updates
@@ -43,6 +43,13 @@
   double min_cpu_change = 0.7;
   /// Weight of a new measurement in the smoothed own load of a serving task.
   double smoothing_factor = 0.1;
+  /// Weight of the newest half second in the moving average of the tail latency
+  /// that workers list.
+  double newest_weight = 0.6;
+  /// Weight of a new measurement in the trend of a serving task's own load.
+  double trend_factor = 0.4;
+  /// How many measurements ahead the own load is predicted while it grows.
+  double prediction_steps = 0.5;
 };
 
 class ColocationModel {
@@ -94,6 +101,14 @@
     double utilization = 0;
     double own = 0;       // utilization without interference
     double smoothed = 0;  // exponentially smoothed `own`
+    double trend = 0;     // smoothed change of `own` between measurements
+    double tail_latency_ms = 0;  // as listed
+    double rounding = 0;         // relative error of `utilization`
+  };
+  // Growth of a utilization between two measurements.
+  struct MeasuredGrowth {
+    double log_growth = 0;
+    double weight = 1;  // by its precision
   };
   struct Observation {
     std::map<std::string, double> cpus_used;           // by best-effort image
@@ -101,12 +116,14 @@
   };
 
   double EstimateUtilization(const ColocatedRun& serving) const;
+  double CurrentLatency(const ColocatedRun& serving) const;
+  double PredictedLoad(const ServingLoad& load, bool smoothed) const;
   double Interference(const std::string& serving_image,
                       const std::map<std::string, double>& cpus_used) const;
   void UpdateCouplings(const std::string& serving_image,
                        const std::map<std::string, double>& before,
                        const std::map<std::string, double>& after,
-                       double log_growth);
+                       const MeasuredGrowth& growth);
 
   ColocationModelOptions options;
   std::map<std::string, ImageProfile> images;
--- a/src/libjobs/colocation_model_test.cc
+++ b/src/libjobs/colocation_model_test.cc
@@ -3,22 +3,30 @@
 #include <CppUTest/TestHarness.h>
 
 #include <cmath>
+#include <map>
 
 namespace savoryring {
 
 // Simulates a worker whose serving tasks behave like M/M/1 queues with a tail
-// latency of idle / (1 - load * (1 + coupling * best-effort processors)).
+// latency of idle / (1 - load * (1 + coupling * best-effort processors)). The
+// worker lists a moving average of it.
 TEST_GROUP(ColocationModel) {
   ColocationModel model;
   const double idle_ms = 4;
+  std::map<std::string, double> listed_ms;  // by task
 
   ColocatedRun ServingRun(const std::string& task, double load,
                           double interference) {
+    constexpr double kNewestWeight = 0.6;
     const double utilization = std::min(0.97, load * (1 + interference));
+    const double current_ms = this->idle_ms / (1 - utilization);
+    double& listed =
+        this->listed_ms.try_emplace(task, current_ms).first->second;
+    listed += kNewestWeight * (current_ms - listed);
     return {.task = task,
             .image = task,
             .tail_target_ms = 18,
-            .tail_latency_ms = std::round(this->idle_ms / (1 - utilization))};
+            .tail_latency_ms = std::round(listed)};
   }
   ColocatedRun BestEffortRun(const std::string& image, double cpus) {
     return {.task = image,
@@ -30,10 +38,13 @@
   // Two best-effort runs start and stop with different periods. Their couplings
   // with the serving task are 0.2 and `quiet_coupling`.
   void Train(int rounds, double quiet_coupling = 0) {
+    constexpr int kRoundsAlone = 21;
     for (int round = 0; round < rounds; ++round) {
       const double load = 0.4 + 0.2 * std::sin(round * 0.3);
-      const double loud = round % 4 < 2 ? 3 : 0;
-      const double quiet = round % 3 == 0 ? 3 : 0;
+      // A serving task is alone at first, so that its idle latency is known.
+      const bool alone = round < kRoundsAlone;
+      const double loud = !alone && round % 4 < 2 ? 3 : 0;
+      const double quiet = !alone && round % 3 == 0 ? 3 : 0;
       this->model.Learn(
           "w",
           {this->ServingRun("s", load, 0.2 * loud + quiet_coupling * quiet),
@@ -69,7 +80,7 @@
 // both equally.
 TEST(ColocationModel, PrefersRunsWithLittleInterference) {
   this->Train(200, 0.04);
-  std::vector<ColocatedRun> runs{this->ServingRun("s", 0.45, 0),
+  std::vector<ColocatedRun> runs{this->ServingRun("s", 0.6, 0),
                                  this->BestEffortRun("loud", 0),
                                  this->BestEffortRun("quiet", 0)};
   runs[1].cpus_requested = 6;
@@ -78,6 +89,7 @@
   const double headroom = this->model.Headroom(runs[0], false);
   const double loud = 6 * this->model.Coupling("s", "loud");
   const double quiet = 6 * this->model.Coupling("s", "quiet");
+  CHECK(loud + quiet > headroom);
   const std::vector<double> speeds = this->model.AllowedSpeeds(runs, false);
   CHECK(speeds[1] * loud + speeds[2] * quiet <= headroom + 0.001);
   CHECK(speeds[1] > 0);
@@ -93,6 +105,36 @@
   DOUBLES_EQUAL(1, speeds[1], 0.001);
 }
 
+// The listed average still holds most of the low load from before.
+TEST(ColocationModel, ASuddenRiseIsSeenBehindTheMovingAverage) {
+  const auto learn = [this](double load) {
+    const ColocatedRun run = this->ServingRun("s", load, 0);
+    this->model.Learn("w", {run});
+    return this->model.Headroom(run, false);
+  };
+  for (int round = 0; round < 8; ++round)
+    learn(0.3);
+  const double at_once = learn(0.7);
+  double settled = 0;
+  for (int round = 0; round < 8; ++round)
+    settled = learn(0.7);
+  CHECK(at_once < settled + 0.05);
+}
+
+TEST(ColocationModel, AGrowingOwnLoadIsPredictedAhead) {
+  ColocatedRun run;
+  for (int round = 0; round < 8; ++round) {
+    run = this->ServingRun("s", 0.3 + 0.04 * round, 0);
+    this->model.Learn("w", {run});
+  }
+  const double growing = this->model.Headroom(run, false);
+  for (int round = 0; round < 8; ++round) {
+    run = this->ServingRun("s", 0.3 + 0.04 * 7, 0);
+    this->model.Learn("w", {run});
+  }
+  CHECK(growing < this->model.Headroom(run, false));
+}
+
 TEST(ColocationModel, AHigherOwnLoadReducesTheHeadroom) {
   const ColocatedRun low = this->ServingRun("s", 0.3, 0);
   const ColocatedRun high = this->ServingRun("s", 0.6, 0);
--- a/src/libjobs/job_placement.cc
+++ b/src/libjobs/job_placement.cc
@@ -55,8 +55,10 @@
          job.spec.latency_target_ms();
 }
 
-// Under overload, ordering by due time alone would make every job late.
-// Therefore jobs that can still meet their objective are placed first.
+// Under overload, ordering by due time alone would make every job late: the
+// tasks of all jobs would share the workers. Therefore jobs that can still meet
+// their objective are placed first, and among them those with the least work
+// left, so that as many as possible are finished in time.
 enum class Timeliness { kOnTime, kLate, kWorthless };
 
 Timeliness TimelinessOf(const Job& job,
@@ -76,6 +78,21 @@
   return Timeliness::kWorthless;
 }
 
+// CPU time that the tasks of the occurrence which are not done will take by
+// their estimates, in thousandths of a processor times ms. 0 for a job that
+// lasts.
+std::uint64_t RemainingWork(const Job& job, std::uint32_t occurrence) {
+  std::uint64_t work = 0;
+  const std::vector<StepState>& states = job.occurrences.at(occurrence);
+  for (std::size_t i = 0; i < states.size(); ++i) {
+    const wire::JobStep& step = job.spec.steps(static_cast<int>(i));
+    const std::uint64_t left = states[i].tasks.size() - states[i].done;
+    if (!step.lasting())
+      work += left * step.estimated_ms() * step.cpu_milli();
+  }
+  return work;
+}
+
 // Whether a large part of the workers' CPU is unassigned.
 bool IsLightlyLoaded(const JobTable& table) {
   std::uint64_t used_milli = 0;
@@ -97,6 +114,7 @@
   struct ReadyStep {
     std::uint32_t priority = 0;
     Timeliness timeliness = Timeliness::kOnTime;
+    std::uint64_t remaining_work = 0;
     std::uint64_t due_ms = 0;
     StepKey key;
     auto operator<=>(const ReadyStep& other) const = default;
@@ -107,6 +125,7 @@
     ready_steps.push_back(
         {.priority = job.spec.priority(),
          .timeliness = TimelinessOf(job, key, this->group_time_ms),
+         .remaining_work = RemainingWork(job, key.occurrence),
          .due_ms = job.accepted_ms + LatencyObjectiveMs(job),
          .key = key});
   }
--- a/src/libjobs/job_scheduler.h
+++ b/src/libjobs/job_scheduler.h
@@ -61,7 +61,7 @@
   Milliseconds learned_send_interval{1000};
   /// A best-effort task is placed on a worker only if it adds at least this
   /// fraction of its CPU request to the best-effort throughput there.
-  double min_best_effort_gain = 0.7;
+  double min_best_effort_gain = 0.5;
   /// Minimum age of a best-effort run that is moved. Covers several
   /// measurements and exceeds the cost of a stop and a start.
   Milliseconds min_age_to_move{1500};
--- a/src/libjobs/job_scheduler_test.cc
+++ b/src/libjobs/job_scheduler_test.cc
@@ -112,6 +112,17 @@
   LONGS_EQUAL(0, this->CountRunning("late"));
 }
 
+// Two jobs that can both meet their objective, with room for one of them.
+TEST(JobScheduler, OfTwoJobsTheOneWithLessWorkLeftIsPlacedFirst) {
+  this->Submit("large", 8, 1000, 2);
+  this->group_time = 100;
+  this->Submit("small", 4, 1000, 2);
+  this->Deliver(this->Report("a"));
+  this->Decide();
+  LONGS_EQUAL(4, this->CountRunning("small"));
+  LONGS_EQUAL(0, this->CountRunning("large"));
+}
+
 TEST(JobScheduler, AStepLargerThanTheCapacityIsPlacedInPart) {
   this->Deliver(this->Report("a"));
   this->Submit("wide", 10, 1000, 0);
