A leader serves while entries of its own term are delivered in parts

A leader counted as caught up only if all were delivered, so that in between it answered no call and dropped the orders for agents whose runs had changed. Ruled out: that reads miss what was acknowledged: a call is answered when its entry is applied, and entries of earlier terms are before the first of the leader's own. Change: caught up means that the first entry of the own term is delivered. Test: Replica.LeaderServesWhileEntriesOfItsTermAreDelivered failed first.

--- a/src/libreplication/replica.cc
+++ b/src/libreplication/replica.cc
@@ -164,7 +164,7 @@
 
 bool Replica::IsCaughtUp() const {
   return this->IsLeader() && this->committed_index >= this->term_start_index &&
-         this->delivered_index == this->committed_index;
+         this->delivered_index >= this->term_start_index;
 }
 
 std::vector<MemberId> Replica::voters() const {
--- a/src/libreplication/replica_test.cc
+++ b/src/libreplication/replica_test.cc
@@ -275,6 +275,21 @@
   CHECK(this->largest_delivery < 4 * kEntryBytes);
 }
 
+// Entries of the leader's own term are answered for when they are applied; they
+// do not stop it from serving while they are delivered.
+TEST(Replica, LeaderServesWhileEntriesOfItsTermAreDelivered) {
+  this->AddAllReplicas();
+  this->RunFor(Milliseconds(3000));
+  Replica& leader = *this->replicas.at(this->Leader());
+  for (int i = 0; i < 30; ++i)
+    leader.Propose(std::string(100'000, 'x'));
+  for (int step = 0; step < 100; ++step) {
+    this->RunFor(kStep);
+    CHECK(leader.IsCaughtUp());
+  }
+  LONGS_EQUAL(30, this->committed[this->Leader()].size());
+}
+
 // A peer that lags behind receives the log in parts; each part is sent after
 // the previous one was acknowledged.
 TEST(Replica, LongLogIsSentInParts) {
