Reports of an agent's earlier process are ignored by a leader that never heard it

Ruled out: a wrong guess of the agent: its report was true when it was sent. Change: a report of an unknown process that is behind in incarnation and in boot time is stale while the agent is heard; the first report that a leader hears of an agent gives up no worker. A worker that is gone at a change of leaders is given up a report later, 0.5 s.

--- a/src/libjobs/job_scheduler.cc
+++ b/src/libjobs/job_scheduler.cc
@@ -52,13 +52,22 @@
 // outdated information on the worker. Also records the incarnation of the
 // agent's process.
 bool JobScheduler::IsStaleReport(AgentState& agent_state,
-                                 const wire::AgentReport& report) {
+                                 const wire::AgentReport& report,
+                                 TimePoint now) const {
   constexpr std::size_t kMaxEarlierIncarnations = 16;
   const std::uint64_t incarnation = report.process_incarnation();
   if (agent_state.earlier_incarnations.contains(incarnation))
     return true;
   if (incarnation == agent_state.incarnation)
     return report.sent_ns() < agent_state.last_report_sent_ns;
+  // Incarnations count wall-clock time and reports boot time. Either may go
+  // back when a VM restarts, but hardly both while the agent is heard.
+  const bool is_from_earlier_process =
+      incarnation < agent_state.incarnation &&
+      report.sent_ns() < agent_state.last_report_sent_ns &&
+      now < agent_state.last_report + this->options.lease;
+  if (is_from_earlier_process)
+    return true;
   if (agent_state.last_report_sent_ns != 0)
     agent_state.earlier_incarnations.insert(agent_state.incarnation);
   if (agent_state.earlier_incarnations.size() > kMaxEarlierIncarnations)
@@ -95,8 +104,9 @@
     TimePoint now) {
   const wire::JobWorkerDescription& worker = report.worker();
   AgentState& agent_state = this->agents[worker.agent()];
-  if (IsStaleReport(agent_state, report))
+  if (this->IsStaleReport(agent_state, report, now))
     return std::nullopt;
+  const bool is_first_report = agent_state.last_report == TimePoint();
   agent_state.last_report = now;
   agent_state.last_report_sent_ns = report.sent_ns();
   agent_state.lease_granted = false;
@@ -121,7 +131,9 @@
   wire::JobCommand command;
   agent_state.worker_gone = report.worker_gone();
   if (agent_state.worker_gone) {
-    if (!registered || IsLossInLog(agent_state))
+    // The first report that this leader hears may have been held up since an
+    // earlier process of the agent sent it. The agent repeats it if it is true.
+    if (!registered || is_first_report || IsLossInLog(agent_state))
       return std::nullopt;
     AddNewEnds(*known, report, agent_state, command);
     this->AddLoss(table, worker.agent(), "the worker is gone", command);
--- a/src/libjobs/job_scheduler.h
+++ b/src/libjobs/job_scheduler.h
@@ -164,8 +164,9 @@
     TimePoint suspended_until;
     TimePoint next_probe;  // gets no further task on probation before this
   };
-  static bool IsStaleReport(AgentState& agent_state,
-                            const wire::AgentReport& report);
+  bool IsStaleReport(AgentState& agent_state,
+                     const wire::AgentReport& report,
+                     TimePoint now) const;
   static bool IsLossInLog(const AgentState& agent_state) {
     return agent_state.loss_in_log_born_ms != 0 &&
            agent_state.loss_in_log_born_ms == agent_state.born_ms;
--- a/src/libjobs/job_scheduler_test.cc
+++ b/src/libjobs/job_scheduler_test.cc
@@ -472,6 +472,46 @@
   LONGS_EQUAL(1, this->CountRunning("j"));
 }
 
+// This leader was elected after the agent's process was restarted. A report
+// from the process before says that the worker is gone; it was held up on the
+// way.
+TEST(JobScheduler, AReportOfAProcessThatThisLeaderNeverHeardIsIgnored) {
+  wire::AgentReport gone = this->Report("a");
+  gone.set_process_incarnation(6);
+  gone.set_worker_gone(true);
+  this->now += Milliseconds(500);
+  wire::AgentReport next = this->Report("a");
+  next.set_process_incarnation(7);
+  this->Deliver(next);
+  this->Submit("j", 1, 1000, 0);
+  this->Decide();
+  this->Deliver(gone);
+  LONGS_EQUAL(1, this->CountRunning("j"));
+  // The process that runs now is still heard.
+  this->now += Milliseconds(1000);
+  next.set_sent_ns(ToNanoseconds(this->now));
+  this->Deliver(next);
+  this->now += Milliseconds(1000);
+  this->Submit("k", 1, 1000, 0);
+  this->Decide();
+  LONGS_EQUAL(1, this->CountRunning("k"));
+}
+
+TEST(JobScheduler, ANewLeaderWaitsForASecondReportOfAGoneWorker) {
+  this->Deliver(this->Report("a"));
+  this->Submit("j", 1, 1000, 0);
+  this->Decide();
+  this->scheduler = JobScheduler({}, this->table, this->now);
+  wire::AgentReport gone = this->Report("a");
+  gone.set_worker_gone(true);
+  this->Deliver(gone);
+  LONGS_EQUAL(1, this->CountRunning("j"));
+  this->now += Milliseconds(500);
+  gone.set_sent_ns(ToNanoseconds(this->now));
+  this->Deliver(gone);
+  LONGS_EQUAL(0, this->CountRunning("j"));
+}
+
 // A hanging worker accepts orders without starting anything. Its jobs must
 // count as pending.
 TEST(JobScheduler, AJobIsPendingUntilAWorkerListsARun) {
