Colocation model: Learn in three functions

Change: idle latency and own load are updated by functions of their own; the same arithmetic. Conclusion: behaviour as before.

--- a/src/libjobs/colocation_model.cc
+++ b/src/libjobs/colocation_model.cc
@@ -100,41 +100,32 @@
 
 void ColocationModel::Learn(const std::string& worker,
                             const std::vector<ColocatedRun>& runs) {
-  const std::map<std::string, double> cpus_used = CpusUsedByImage(runs);
-  Observation observation{.cpus_used = cpus_used};
   const Observation& before = this->last_observations[worker];
+  Observation observation{.cpus_used = CpusUsedByImage(runs)};
   for (const ColocatedRun& run : runs) {
     if (run.tail_target_ms == 0 || run.tail_latency_ms == 0)
       continue;
-    ImageProfile& image = this->images[run.image];
-    const double idle_ms = kIdleLatencyFraction * run.tail_latency_ms;
-    if (image.idle_ms == 0)
-      image.idle_ms =
-          std::min(idle_ms, kInitialIdleTargetFraction * run.tail_target_ms);
-    image.idle_ms = std::min(image.idle_ms, idle_ms);
+    this->UpdateIdleLatency(run);
     const double utilization = this->EstimateUtilization(run);
+    const double rounding =
+        RoundingError(this->images.at(run.image).idle_ms, run.tail_latency_ms);
     const auto known = before.serving_loads.find(run.task);
-    const double rounding = RoundingError(image.idle_ms, run.tail_latency_ms);
     if (known != before.serving_loads.end() &&
         utilization < kSaturatedUtilization &&
         known->second.utilization < kSaturatedUtilization) {
       this->UpdateCouplings(
-          run.image, before.cpus_used, cpus_used,
+          run.image, before.cpus_used, observation.cpus_used,
           {.log_growth = std::log(utilization / known->second.utilization),
            .weight = Weight(rounding, known->second.rounding)});
     }
     ServingLoad& load = this->serving_loads[run.task];
-    const double own =
-        utilization / (1 + this->Interference(run.image, cpus_used));
-    if (load.smoothed == 0)
-      load.smoothed = load.own = own;
-    load.trend += this->options.trend_factor * (own - load.own - load.trend);
+    this->UpdateOwnLoad(
+        utilization /
+            (1 + this->Interference(run.image, observation.cpus_used)),
+        load);
     load.utilization = utilization;
-    load.own = own;
-    load.tail_latency_ms = run.tail_latency_ms;
     load.rounding = rounding;
-    load.smoothed +=
-        this->options.smoothing_factor * (load.own - load.smoothed);
+    load.tail_latency_ms = run.tail_latency_ms;
     observation.serving_loads[run.task] = load;
   }
   this->last_observations[worker] = std::move(observation);
@@ -142,6 +133,24 @@
     this->serving_loads.erase(this->serving_loads.begin());
 }
 
+// The lowest latency listed so far tells what the image takes without load.
+void ColocationModel::UpdateIdleLatency(const ColocatedRun& serving) {
+  ImageProfile& image = this->images[serving.image];
+  const double idle_ms = kIdleLatencyFraction * serving.tail_latency_ms;
+  if (image.idle_ms == 0)
+    image.idle_ms = kInitialIdleTargetFraction * serving.tail_target_ms;
+  image.idle_ms = std::min(image.idle_ms, idle_ms);
+}
+
+void ColocationModel::UpdateOwnLoad(double own, ServingLoad& load) const {
+  const bool is_first = load.smoothed == 0;
+  if (is_first)
+    load.smoothed = load.own = own;
+  load.trend += this->options.trend_factor * (own - load.own - load.trend);
+  load.smoothed += this->options.smoothing_factor * (own - load.smoothed);
+  load.own = own;
+}
+
 // The own load hardly changes between two measurements. A change of the
 // utilization is therefore attributed to the best-effort images whose CPU use
 // has changed.
--- a/src/libjobs/colocation_model.h
+++ b/src/libjobs/colocation_model.h
@@ -115,6 +115,8 @@
     std::map<std::string, ServingLoad> serving_loads;  // by task
   };
 
+  void UpdateIdleLatency(const ColocatedRun& serving);
+  void UpdateOwnLoad(double own, ServingLoad& load) const;
   double EstimateUtilization(const ColocatedRun& serving) const;
   double CurrentLatency(const ColocatedRun& serving) const;
   double PredictedLoad(const ServingLoad& load, bool smoothed) const;
