A job scheduler learns of every event while its replica leads

What callers saw: a task that is to last does not run although workers have room for it; runs stay assigned to a worker that never starts them, until another leader is elected. Cause: events of applied entries were withheld from the job scheduler while the leader's lease had lapsed (320 ms without a majority; a leader steps down after 800 ms). If the event was the loss of a worker, that loss counted as being in the log for the rest of the term: the worker was taken up again and got runs, but no lease, no orders and no second loss. Evidence: ControlCore.AWorkerLostWhileTheLeaderLeaseHadLapsedGetsOrdersAgain failed before (no lease in any order), passes now. Ruled out: that acknowledgements commit nothing without a lease (the test commits). Change: the scheduler gets the events, and on-call their lines, as long as the replica leads. Conclusion: of the class 'state that is derived from events misses one'.

--- a/src/libcontrol/control_core.cc
+++ b/src/libcontrol/control_core.cc
@@ -184,17 +184,17 @@
   this->last_job_decision_index = this->log_replica.last_index();
 }
 
+// The scheduler's state must follow the table while this replica leads, also
+// while its leader lease has lapsed.
 void ControlCore::ProcessJobEvents(TimePoint now) {
-  for (const JobEvent& event :
-       this->control_state.mutable_jobs().TakeEvents()) {
-    const bool serves = this->job_scheduler && this->Serves(now);
-    if (!serves)
-      continue;
+  const std::vector<JobEvent> events =
+      this->control_state.mutable_jobs().TakeEvents();
+  if (!this->job_scheduler || !this->was_leader)
+    return;
+  for (const JobEvent& event : events) {
     this->job_scheduler->OnEvent(event, now);
     this->ReportJobEvent(event);
   }
-  if (!this->job_scheduler)
-    return;
   for (const std::string& agent : this->job_scheduler->TakeSuspendedAgents())
     this->ReportEvent(Event::kJobWorkerSuspended, {{"worker", agent}});
 }
--- a/src/libcontrol/control_core_test.cc
+++ b/src/libcontrol/control_core_test.cc
@@ -23,7 +23,9 @@
   std::array<Node, 3> nodes{Node{.id = "1"}, Node{.id = "2"}, Node{.id = "3"}};
   std::uint64_t last_call_token = 0;
   std::string reporting_agent = "a";
+  bool worker_gone = false;  // as the agent reports it
   wire::WorkerEnds ends;
+  std::vector<SendAgentOrders> agent_orders;
   std::map<std::uint64_t, wire::ControlReply> replies;
 
   void StartNode(Node & node, std::uint64_t seed) {
@@ -64,6 +66,8 @@
     for (const ControlEffect& effect : node.core->TakeEffects(this->now)) {
       if (const auto* reply = std::get_if<ReplyToCall>(&effect))
         this->replies[reply->call_token] = reply->reply;
+      if (const auto* orders = std::get_if<SendAgentOrders>(&effect))
+        this->agent_orders.push_back(*orders);
       if (const auto* event = std::get_if<OperatorEvent>(&effect)) {
         if (event->event == Event::kJobWorkerLost)
           node.lost_workers.push_back(event->fields[0].value);
@@ -97,6 +101,8 @@
     report.mutable_worker()->set_born_ms(1);
     report.mutable_worker()->set_cpu_milli(4000);
     report.mutable_worker()->set_service("desk");
+    report.set_worker_gone(this->worker_gone);
+    report.set_listed(true);
     *report.mutable_ends() = this->ends;
     return report;
   }
@@ -172,4 +178,30 @@
   CHECK(this->Leader()->core->state().jobs().Find("j") != nullptr);
 }
 
+TEST(ControlCore, AWorkerLostWhileTheLeaderLeaseHadLapsedGetsOrdersAgain) {
+  this->StartAllNodes();
+  this->Run(300);
+  this->SubmitAndFinishJob();
+  Node* leader = this->Leader();
+  const std::uint64_t term = leader->core->replica().term();
+  this->worker_gone = true;
+  // The loss is proposed, and committed by acknowledgements that arrive after
+  // the lease has lapsed, before the leader would step down.
+  this->Run(1);
+  this->now += Milliseconds(340);
+  this->Run(4);
+  CHECK(leader->core->state().jobs().FindWorker("a")->lost);
+  this->worker_gone = false;
+  this->Run(100);
+  POINTERS_EQUAL(leader, this->Leader());
+  LONGS_EQUAL(term, leader->core->replica().term());
+  CHECK(!leader->core->state().jobs().FindWorker("a")->lost);
+  this->agent_orders.clear();
+  this->Run(1);
+  bool has_lease = false;
+  for (const SendAgentOrders& sent : this->agent_orders)
+    has_lease = has_lease || sent.orders.lease_ms() > 0;
+  CHECK(has_lease);
+}
+
 }  // namespace savoryring
