A run that is ordered of a draining worker goes back to the leader

What callers saw: a task that is to last does not run although other workers have room for it. Cause: a leader that has not yet heard that a worker drains assigns it runs. The agent neither started nor rejected them, and reported them as pending, which the leader counts as progress. They stayed there until the worker left, many seconds later. Evidence: WorkerAgent.ARunOrderedOfADrainingWorkerIsReturnedToTheLeader failed before (no stop, no rejection). Ruled out: rejecting at once. An earlier process of the agent may have started the run, or its call may still be carried out; a rejection would let it run twice. Change: such a run is stopped, unless the worker lists it as running, and is rejected once a listing shows that it is not there.

--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -202,6 +202,8 @@
   if (!this->worker)
     return;
   this->EndExpiredLease(now);
+  if (this->worker->draining())
+    this->StopUnstartedRuns();
   if (this->HasLease(now)) {
     this->IssueStopCalls(now);
     this->IssueStartCalls(now);
@@ -209,6 +211,25 @@
   this->IssueWatchCall(now);
 }
 
+// A draining worker gets no new runs, but may stay for many seconds. The leader
+// assigned these runs before it knew, and places them elsewhere once they are
+// stopped. An earlier process of this agent may have started some of them:
+// these are listed, or a stop prevents them from starting late.
+void WorkerAgent::StopUnstartedRuns() {
+  if (!this->list_is_current)
+    return;
+  std::erase_if(this->starts, [this](const auto& item) {
+    const auto& [name, start_state] = item;
+    const wire::StartOrder& order = start_state.order;
+    if (start_state.confirmed || start_state.call_open ||
+        this->stops.contains(name) ||
+        this->ListedRunNumber(name) == order.run())
+      return false;
+    this->AddStop(order.task(), order.run(), TimePoint());
+    return true;
+  });
+}
+
 void WorkerAgent::IssueStartCalls(TimePoint now) {
   std::size_t open = 0;
   for (const auto& [name, start_state] : this->starts)
--- a/src/libjobs/worker_agent.h
+++ b/src/libjobs/worker_agent.h
@@ -172,6 +172,7 @@
                TimePoint confirmed_at);
   bool HasEnded(const std::string& task, std::uint32_t run) const;
   void IssueCalls(TimePoint now);
+  void StopUnstartedRuns();
   void IssueStartCalls(TimePoint now);
   void IssueStopCalls(TimePoint now);
   void IssueWatchCall(TimePoint now);
--- a/src/libjobs/worker_agent_test.cc
+++ b/src/libjobs/worker_agent_test.cc
@@ -67,6 +67,12 @@
     orders.mutable_stops(0)->set_run(run);
     return orders;
   }
+  void AnnounceDraining() {
+    wire::JobWorkerDescription worker = *this->agent.description();
+    worker.set_draining(true);
+    this->agent.OnWorkerAnnounced(worker, this->now);
+    this->Collect();
+  }
   void DeliverOrders(const wire::AgentOrders& orders) {
     this->agent.OnOrders(orders, this->now);
     this->Collect();
@@ -128,15 +134,42 @@
 
 TEST(WorkerAgent, ADrainingWorkerGetsNothingNew) {
   this->Announce();
-  wire::JobWorkerDescription worker = *this->agent.description();
-  worker.set_draining(true);
-  this->agent.OnWorkerAnnounced(worker, this->now);
+  this->AnnounceDraining();
   this->DeliverOrders(this->OrderStart("j", 1));
   this->AdvanceTime(Milliseconds(500));
   CHECK(this->starts.empty());
   CHECK(this->reports.back().worker().draining());
 }
 
+TEST(WorkerAgent, ARunOrderedOfADrainingWorkerIsReturnedToTheLeader) {
+  this->Announce();
+  this->DeliverOrders(this->Orders());
+  this->AnswerWatch({});
+  this->AnnounceDraining();
+  this->DeliverOrders(this->OrderStart("j", 1));
+  CHECK(this->starts.empty());
+  LONGS_EQUAL(1, this->stops.size());
+  this->agent.OnStopResult(this->stops[0], CallOutcome::kDone, this->now);
+  this->AnswerWatch({});
+  this->AdvanceTime(Milliseconds(400));
+  this->AnswerWatch({});
+  this->AnswerWatch({});
+  LONGS_EQUAL(1, this->reports.back().rejected_size());
+  STRCMP_EQUAL("j", this->reports.back().rejected(0).task().job().c_str());
+  LONGS_EQUAL(0, this->reports.back().runs_size());
+}
+
+TEST(WorkerAgent, ARunThatADrainingWorkerListsIsNotStopped) {
+  this->Announce();
+  this->AnnounceDraining();
+  this->DeliverOrders(this->OrderStart("j", 1));
+  CHECK(this->stops.empty());
+  this->AnswerWatch({.running = {this->Running("j", 1)}});
+  this->AdvanceTime(Milliseconds(500));
+  CHECK(this->stops.empty());
+  LONGS_EQUAL(1, this->reports.back().runs_size());
+}
+
 TEST(WorkerAgent, AnUnansweredStartIsRepeatedAsTheSameRun) {
   this->Announce();
   this->DeliverOrders(this->OrderStart("j", 1));
