Lasting tasks are placed before the work that newer jobs bring

What callers saw: a task that is to last does not run. Cause: the placement orders steps of a priority by whether their job can still be in time. A lasting job that was accepted long ago counted as worthless: each of its restarts waited behind all other work of its priority. Evidence: JobScheduler.AnOldLastingTaskDoesNotWaitForNewerWorkOfItsQueue failed before (0 of 1 placed while 4 fresh tasks took the worker). Ruled out: priorities; these come first, as before. Change: steps of lasting tasks are always in time.

--- a/src/libjobs/job_placement.cc
+++ b/src/libjobs/job_placement.cc
@@ -67,6 +67,9 @@
   // A job that takes this multiple of its objective is of no value to its
   // owner.
   constexpr std::uint64_t kWorthlessMultiple = 3;
+  // A lasting task is needed as much on its last restart as on its first start.
+  if (job.spec.steps(static_cast<int>(key.step)).lasting())
+    return Timeliness::kOnTime;
   const std::uint64_t objective_ms = LatencyObjectiveMs(job);
   const std::uint64_t finish_ms =
       std::max(group_time_ms, job.accepted_ms) +
--- a/src/libjobs/job_scheduler_test.cc
+++ b/src/libjobs/job_scheduler_test.cc
@@ -112,6 +112,16 @@
   LONGS_EQUAL(0, this->CountRunning("late"));
 }
 
+TEST(JobScheduler, AnOldLastingTaskDoesNotWaitForNewerWorkOfItsQueue) {
+  this->Submit("watch", 1, 1000, 0,
+               [](wire::JobStep* step) { step->set_lasting(true); });
+  this->group_time = 60'000;
+  this->Submit("fresh", 4, 1000, 0);
+  this->Deliver(this->Report("a"));
+  this->Decide();
+  LONGS_EQUAL(1, this->CountRunning("watch"));
+}
+
 // Two jobs that can both meet their objective, with room for one of them.
 TEST(JobScheduler, OfTwoJobsTheOneWithLessWorkLeftIsPlacedFirst) {
   this->Submit("large", 8, 1000, 2);
