Jobs that can never be done suspend no sound worker

What callers saw: a task that is to last does not run although workers have room for it. Cause: a worker on which runs of three jobs had failed since it last completed a run was suspended for 8 s, whatever the jobs. A wave of jobs that fail wherever they run suspends every worker, and a worker with lasting tasks alone never completes a run. Evidence: JobScheduler.JobsThatCanNeverBeDoneSuspendNoSoundWorker and ALastingTaskThatBecomesAvailableEndsAProbation failed before (0 of 2 lasting tasks placed; 1 of 2). Ruled out: no suspension at all; workers that fail all they start need it (AWorkerWhereSeveralJobsFailIsSuspended holds as it was). Change: FailureAttribution, a core of its own. A task that fails on several workers makes its job the suspect until the task is done; a suspect's failures count against no worker. A lasting task that becomes available shows that its worker is sound.

--- a/src/libjobs/job_scheduler.cc
+++ b/src/libjobs/job_scheduler.cc
@@ -122,7 +122,7 @@
     agent_state.born_ms = worker.born_ms();
     agent_state.runs.clear();
     agent_state.proposed_end = 0;
-    agent_state.failed_jobs.clear();
+    this->failure_attribution.Forgive(worker.agent());
     agent_state.suspended_until = TimePoint();
   }
   const bool known_incarnation =
@@ -214,6 +214,12 @@
     if (!status.pending())
       this->started_jobs.insert(key.step.sequence);
     run.has_start_order = status.described();
+    const bool became_available = table.Step(key.step).lasting() &&
+                                  status.percent() == kFullPercent &&
+                                  run.percent < kFullPercent;
+    // A worker without batch tasks never completes a run.
+    if (became_available)
+      this->failure_attribution.Forgive(report.worker().agent());
     run.percent = status.percent();
     run.measured = status.measured();
     run.speed = SmoothedSpeed(run.speed, status, table.Step(key.step));
@@ -387,15 +393,20 @@
 void JobScheduler::OnEvent(const JobEvent& event, TimePoint now) {
   if (event.kind == JobEvent::Kind::kWorkerLost)
     this->agents[event.agent].loss_in_log_born_ms = 0;
-  if (event.kind != JobEvent::Kind::kEnded)
-    return;
+  if (event.kind == JobEvent::Kind::kJobEnded)
+    this->failure_attribution.OnJobEnded(event.job);
+  if (event.kind == JobEvent::Kind::kEnded)
+    this->OnRunEnded(event, now);
+}
+
+void JobScheduler::OnRunEnded(const JobEvent& event, TimePoint now) {
   const bool ran = event.run_end != wire::RUN_END_LAPSED &&
                    event.run_end != wire::RUN_END_REJECTED;
   if (ran)
     this->started_jobs.insert(event.key.step.sequence);
   AgentState& agent_state = this->agents[event.agent];
   if (event.run_end == wire::RUN_END_DONE)
-    agent_state.failed_jobs.clear();
+    this->failure_attribution.OnDone(event.agent, event.job, event.key);
   if (event.run_end != wire::RUN_END_FAILED &&
       event.run_end != wire::RUN_END_REJECTED)
     return;
@@ -405,10 +416,8 @@
   if (event.lasting && run != agent_state.runs.end() &&
       run->second.percent == kFullPercent)
     return;
-  // A faulty job fails on any worker, but failures of several jobs indicate a
-  // faulty worker.
-  agent_state.failed_jobs.insert(event.job);
-  if (agent_state.failed_jobs.size() < this->options.failed_jobs_to_suspend)
+  this->failure_attribution.OnFailed(event.agent, event.job, event.key);
+  if (!this->IsOnProbation(event.agent))
     return;
   agent_state.suspended_until = now + this->options.suspension_time;
   this->suspended_agents.push_back(event.agent);
--- a/src/libjobs/job_scheduler.h
+++ b/src/libjobs/job_scheduler.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "libjobs/colocation_model.h"
+#include "libjobs/failure_attribution.h"
 #include "libjobs/job_table.h"
 #include "savoryring/time.h"
 
@@ -160,7 +161,6 @@
     std::vector<wire::StopOrder> orphan_stops;  // for runs without assignment
     TimePoint next_learning;
     TimePoint next_learned_send;
-    std::set<std::string> failed_jobs;  // since it last completed a run
     TimePoint suspended_until;
     TimePoint next_probe;  // gets no further task on probation before this
   };
@@ -171,8 +171,8 @@
     return agent_state.loss_in_log_born_ms != 0 &&
            agent_state.loss_in_log_born_ms == agent_state.born_ms;
   }
-  bool IsOnProbation(const AgentState& agent_state) const {
-    return agent_state.failed_jobs.size() >=
+  bool IsOnProbation(const std::string& agent) const {
+    return this->failure_attribution.CountFailedJobs(agent) >=
            this->options.failed_jobs_to_suspend;
   }
   /// Why a worker accepts no new tasks at all.
@@ -220,6 +220,7 @@
   };
   using Candidates = std::set<Candidate>;
 
+  void OnRunEnded(const JobEvent& event, TimePoint now);
   static void AddNewEnds(const JobWorker& known,
                          const wire::AgentReport& report,
                          AgentState& agent_state,
@@ -296,6 +297,7 @@
   JobSchedulerOptions options;
   std::map<std::string, AgentState> agents;
   ColocationModel colocation_model;
+  FailureAttribution failure_attribution;
   std::uint64_t group_time_ms = 0;
   TimePoint decision_time;               // of the decision in progress
   std::set<std::uint64_t> started_jobs;  // with a run confirmed by a worker
--- a/src/libjobs/job_scheduler_test.cc
+++ b/src/libjobs/job_scheduler_test.cc
@@ -337,6 +337,50 @@
   LONGS_EQUAL(1, this->CountRunning("good"));
 }
 
+TEST(JobScheduler, JobsThatCanNeverBeDoneSuspendNoSoundWorker) {
+  this->Deliver(this->Report("a"));
+  this->Deliver(this->Report("b"));
+  for (const char* job : {"bad-1", "bad-2", "bad-3"})
+    this->Submit(job, 1, 1000, 0);
+  this->Decide();
+  for (int round = 0; round < 3; ++round) {
+    for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
+      const TaskKey key{.step = {.sequence = sequence}};
+      if (this->table.FindSequence(sequence)->IsOpen())
+        this->ApplyFailure(this->table.Task(key).agent, key);
+      this->Decide();
+    }
+  }
+  LONGS_EQUAL(0, this->table.ready_steps().size());
+  this->Submit("watch", 2, 4000, 0,
+               [](wire::JobStep* step) { step->set_lasting(true); });
+  this->Decide();
+  LONGS_EQUAL(2, this->CountRunning("watch"));
+}
+
+TEST(JobScheduler, ALastingTaskThatBecomesAvailableEndsAProbation) {
+  this->Deliver(this->Report("a"));
+  for (const char* job : {"j-1", "j-2", "j-3"}) {
+    this->Submit(job, 1, 1000, 1);
+    this->Decide();
+    this->ApplyFailure("a", *this->table.FindWorker("a")->runs.rbegin());
+  }
+  this->now += Milliseconds(9000);
+  this->Deliver(this->Report("a"));
+  this->Submit("watch", 2, 1000, 0,
+               [](wire::JobStep* step) { step->set_lasting(true); });
+  this->Decide();
+  LONGS_EQUAL(1, this->CountRunning("watch"));
+  wire::AgentReport report = this->Report("a");
+  wire::RunStatus* status = report.add_runs();
+  *status->mutable_task() = this->table.NameOf({.step = {.sequence = 4}});
+  status->set_run(1);
+  status->set_percent(100);
+  this->Deliver(report);
+  this->Decide();
+  LONGS_EQUAL(2, this->CountRunning("watch"));
+}
+
 TEST(JobScheduler, ARunWithAReportedEndIsNotOrderedAgain) {
   this->Deliver(this->Report("a"));
   this->Submit("j", 1, 1000, 0);
