A run does not wait for a worker that answers no starts

What callers saw: a task that is to last does not run although other workers have room for it. Cause: a start that is not answered was repeated for as long as the worker answered watch calls; the run counted as pending, which the leader takes for progress. Evidence: WorkerAgent.ARunDoesNotWaitForAWorkerThatAnswersNoStarts failed before (no stop). Ruled out: a time limit at the leader, which can't tell a silent worker from an agent with many starts to make. Change: after two unanswered start calls in a row the agent stops the run, unless it is listed, so that it comes back as rejected.

--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -10,6 +10,9 @@
 
 // Limit on concurrent start calls to the worker.
 constexpr std::size_t kMaxOpenStartCalls = 4;
+// A worker that leaves this many start calls for a run in a row without an
+// answer may do so for long; the run is placed elsewhere.
+constexpr int kMaxUnansweredStartCalls = 2;
 // Delay between two watch calls, so that ends that occur together are listed
 // in one answer.
 constexpr Milliseconds kWatchInterval{10};
@@ -319,15 +322,22 @@
     this->report_pending = true;
   }
   if (outcome == CallOutcome::kNoAnswer ||
-      outcome == CallOutcome::kConnectionRefused)
+      outcome == CallOutcome::kConnectionRefused) {
     start_state.maybe_started = true;
+    start_state.unanswered_calls += 1;
+  } else {
+    start_state.unanswered_calls = 0;
+  }
+  const bool give_up =
+      start_state.unanswered_calls >= kMaxUnansweredStartCalls &&
+      this->ListedRunNumber(name) != call.order.run();
   if (outcome == CallOutcome::kAlreadyEnded) {
     // The end of the run is in the next listing, unless the run was stopped
     // before it started.
     this->AddStop(call.order.task(), call.order.run(), now);
     this->starts.erase(found);
   }
-  if (outcome == CallOutcome::kRejected) {
+  if (outcome == CallOutcome::kRejected || give_up) {
     const bool maybe_started = start_state.maybe_started;
     this->starts.erase(found);
     if (maybe_started) {
--- a/src/libjobs/worker_agent.h
+++ b/src/libjobs/worker_agent.h
@@ -153,6 +153,7 @@
     bool call_open = false;
     bool confirmed = false;
     bool maybe_started = false;  // an earlier call was not answered
+    int unanswered_calls = 0;    // in a row
     TimePoint next_attempt;
   };
   struct StopState {
--- a/src/libjobs/worker_agent_test.cc
+++ b/src/libjobs/worker_agent_test.cc
@@ -179,6 +179,19 @@
   LONGS_EQUAL(1, this->starts[1].order.run());
 }
 
+TEST(WorkerAgent, ARunDoesNotWaitForAWorkerThatAnswersNoStarts) {
+  this->Announce();
+  this->DeliverOrders(this->OrderStart("j", 1));
+  for (int call = 0; call < 2; ++call) {
+    LONGS_EQUAL(call + 1, this->starts.size());
+    this->agent.OnStartResult(this->starts.back(), CallOutcome::kNoAnswer,
+                              this->now);
+    this->AdvanceTime(Milliseconds(200));
+  }
+  LONGS_EQUAL(2, this->starts.size());
+  LONGS_EQUAL(1, this->stops.size());
+}
+
 TEST(WorkerAgent, RejectedStartIsStoppedIfAnEarlierCallWasUnanswered) {
   this->Announce();
   this->DeliverOrders(this->OrderStart("j", 1));
--- a/testsuite/schedule/job_nodes.cc
+++ b/testsuite/schedule/job_nodes.cc
@@ -13,7 +13,7 @@
 // Capacity of every worker.
 constexpr WorkerCapacity kWorkerCapacity{.cpu_milli = 8000, .memory_mb = 8000};
 constexpr Milliseconds kWorkerTick{10};
-constexpr Milliseconds kCallTimeout{1000};
+constexpr Milliseconds kCallTimeout{500};
 // A gateway refuses a call after this time if no leader can have accepted it.
 constexpr Milliseconds kRefuseAfter{1200};
 // Longest delay of a call that is carried out late.
