A leader announces itself to the configured replicas

Cause: after a loss of all power every process knows three seeds and nothing else. Two seeds had lost their disks and the third was a learner, outside of the voters. They asked each other who leads, for ever. The three voters that had kept their disks had elected a leader 0.4 s after the start; it served, but sent its entries to the incarnations that were gone, which the new ones ignore. No agent, no gateway and no operator ever found it, and 6.2 s later it gave up all 55 workers. Replica.SeedsThatLostTheirDisksLearnWhoLeads failed before (no seed knew a leader). Ruled out: elections lost to long logs: here one leader kept its role for 26 s. Change: a leader sends a hello that names it to the configured replicas, every 500 ms.

--- a/src/libreplication/replica.cc
+++ b/src/libreplication/replica.cc
@@ -45,7 +45,9 @@
 }
 
 void Replica::Tick(TimePoint now) {
-  if (!this->IsVoter() && now >= this->hello_deadline)
+  const bool announces_itself =
+      this->IsLeader() && this->options.open_membership;
+  if ((!this->IsVoter() || announces_itself) && now >= this->hello_deadline)
     this->SendHello(now);
   if (this->IsLeader()) {
     this->TickLeader(now);
--- a/src/libreplication/replica.h
+++ b/src/libreplication/replica.h
@@ -243,7 +243,7 @@
   TimePoint heartbeat_deadline;
   TimePoint hello_deadline;
   std::uint64_t hello_nonce = 0;
-  std::string leader_hint;  // leader named by a peer's hello reply
+  std::string leader_hint;  // leader named by a hello or by its reply
   std::map<std::string, MemberId> unformed_peers;  // those with empty disks
   std::set<MemberId> votes;
   std::map<MemberId, Progress> peers;
--- a/src/libreplication/replica_joining.cc
+++ b/src/libreplication/replica_joining.cc
@@ -11,11 +11,17 @@
 namespace {
 
 constexpr Milliseconds kHelloInterval{200};
+// A leader tells the configured replicas at this interval that it leads.
+constexpr Milliseconds kAnnounceInterval{500};
 
 }  // namespace
 
+// Replicas and other processes that know nothing but the configured ids find
+// the group through these. They may all be outside of it, with empty disks or
+// no disk, so a leader sends them a hello as well.
 void Replica::SendHello(TimePoint now) {
-  this->hello_deadline = now + kHelloInterval;
+  this->hello_deadline =
+      now + (this->IsLeader() ? kAnnounceInterval : kHelloInterval);
   // Only replies with this nonce are accepted. A reply to an earlier hello
   // may predate this disk and describe a peer that has since joined another
   // group.
@@ -30,6 +36,8 @@
       continue;
     wire::ReplicaMessage message = this->NewMessage({.id = id});
     message.mutable_hello()->set_nonce(this->hello_nonce);
+    if (this->IsLeader())
+      message.mutable_hello()->set_leader(this->options.self.id);
     this->SendTo({.id = id}, std::move(message));
   }
   this->TryFormGroup(now);
@@ -37,6 +45,8 @@
 
 void Replica::ReceiveHello(const wire::ReplicaMessage& message, TimePoint now) {
   const MemberId peer = ToMemberId(message.from());
+  if (this->options.open_membership && !message.hello().leader().empty())
+    this->leader_hint = message.hello().leader();
   wire::ReplicaMessage reply = this->NewMessage(peer);
   wire::HelloReply* body = reply.mutable_hello_reply();
   body->set_nonce(message.hello().nonce());
--- a/src/libreplication/replica_test.cc
+++ b/src/libreplication/replica_test.cc
@@ -19,6 +19,7 @@
   std::set<std::string> isolated;
   std::map<std::string, std::vector<std::string>> committed;
   ReplicaMutations mutations;
+  bool open_membership = false;
   std::map<std::string, std::size_t> sent_bytes;
   std::size_t largest_message = 0;
   std::size_t largest_delivery = 0;  // bytes of committed entries in an output
@@ -28,6 +29,8 @@
     ReplicaOptions options{.self = {.id = id, .incarnation = incarnation},
                            .configured_ids = {"a", "b", "c"},
                            .seed = incarnation,
+                           .may_form_group = !this->open_membership,
+                           .open_membership = this->open_membership,
                            .mutations = this->mutations};
     this->replicas[id] =
         std::make_unique<Replica>(std::move(options), stored, this->now);
@@ -310,4 +313,26 @@
   LONGS_EQUAL(30, this->committed[lagging].size());
 }
 
+TEST(Replica, SeedsThatLostTheirDisksLearnWhoLeads) {
+  this->open_membership = true;
+  StoredReplica stored;
+  stored.hard_state.set_term(1);
+  wire::LogEntry& entry = stored.entries.emplace_back();
+  entry.set_index(1);
+  entry.set_term(1);
+  *entry.mutable_membership() = ToMembership({{.id = "d", .incarnation = 4},
+                                              {.id = "e", .incarnation = 5},
+                                              {.id = "f", .incarnation = 6}});
+  this->AddReplica("d", 4, stored);
+  this->AddReplica("e", 5, stored);
+  this->AddReplica("f", 6, stored);
+  // The configured ids are those of replicas with empty disks.
+  this->AddAllReplicas();
+  this->RunFor(Milliseconds(3000));
+  const std::string leader = this->Leader();
+  CHECK(!leader.empty());
+  for (const std::string id : {"a", "b", "c"})
+    STRCMP_EQUAL(leader.c_str(), this->replicas.at(id)->leader_id().c_str());
+}
+
 }  // namespace savoryring
