Calls: the log tells the revision that decided a call, and why it waited

Cause: not traceable. No line told by which revision the leader decided a call, nor why a call waited. Change: each answer of the leader carries the estate revision that decided the call (for a change that is committed first: the one at its receipt). The client of the control group counts answers without a leader, answer timeouts and redirects of each call, and the time for which it was at no replica. Conclusion: no decision changes.

--- a/src/libbase/events.cc
+++ b/src/libbase/events.cc
@@ -133,7 +133,8 @@
     EventInfo{kJobRunPaced, "job-run-paced", kInfo,
               "the speed limit of a best-effort run changes"},
     EventInfo{kJobCallAnswered, "job-call-answered", kInfo,
-              "a caller's submission or cancellation was answered"},
+              "a caller's submission or cancellation was answered, or a query "
+              "that took long or is the first of an estate revision"},
 };
 
 trivial::severity_level LevelOf(Severity severity) {
--- a/src/libcontrol/control_core.cc
+++ b/src/libcontrol/control_core.cc
@@ -64,9 +64,9 @@
     return;
   }
   if (call.method() == "PING") {
-    ReplyToCall answer{.call_token = call_token};
-    answer.reply.set_status(200);
-    this->effects.emplace_back(std::move(answer));
+    wire::ControlReply answer;
+    answer.set_status(200);
+    this->ReplyAsLeader(call_token, std::move(answer));
     return;
   }
   try {
@@ -77,20 +77,25 @@
     const ControlView view = this->MakeView(now);
     auto command = ParseCommand(call, view);
     if (!command) {
-      this->effects.emplace_back(ReplyToCall{.call_token = call_token,
-                                             .reply = AnswerQuery(call, view)});
+      this->ReplyAsLeader(call_token, AnswerQuery(call, view));
       return;
     }
     this->ProposeCall(*command, call, call_token, now);
   } catch (const Error& failure) {
     if (call.path() == "/estate")
       this->ReportEvent(Event::kEstateRejected, failure.what());
-    this->effects.emplace_back(
-        ReplyToCall{.call_token = call_token,
-                    .reply = MakeErrorReply(failure.code(), failure.what())});
+    this->ReplyAsLeader(call_token,
+                        MakeErrorReply(failure.code(), failure.what()));
   }
 }
 
+void ControlCore::ReplyAsLeader(std::uint64_t call_token,
+                                wire::ControlReply reply) {
+  reply.set_estate_revision(this->control_state.estate().revision());
+  this->effects.emplace_back(
+      ReplyToCall{.call_token = call_token, .reply = std::move(reply)});
+}
+
 // --- Jobs ---
 
 void ControlCore::OnJobCall(const wire::ControlCall& call,
@@ -105,10 +110,10 @@
   auto outcome = ReadJobCall(job_call, estate.estate(),
                              this->control_state.jobs(), *this->job_scheduler);
   if (const auto* answer = std::get_if<JobAnswer>(&outcome)) {
-    ReplyToCall effect{.call_token = call_token};
-    effect.reply.set_status(static_cast<std::uint32_t>(answer->status));
-    effect.reply.set_body(answer->body);
-    this->effects.emplace_back(std::move(effect));
+    wire::ControlReply reply;
+    reply.set_status(static_cast<std::uint32_t>(answer->status));
+    reply.set_body(answer->body);
+    this->ReplyAsLeader(call_token, std::move(reply));
     return;
   }
   wire::Command command;
@@ -125,7 +130,10 @@
     command.mutable_job_command()->set_group_time_ms(this->GroupTime(now));
   const auto index = this->log_replica.Propose(command.SerializeAsString());
   this->pending_calls[*index] = {
-      .call = call, .term = this->log_replica.term(), .call_token = call_token};
+      .call = call,
+      .term = this->log_replica.term(),
+      .call_token = call_token,
+      .estate_revision = this->control_state.estate().revision()};
 }
 
 void ControlCore::OnAgentReport(const wire::AgentReport& report,
@@ -357,6 +365,7 @@
   ReplyToCall answer{.call_token = pending.call_token};
   if (pending.term == entry.term()) {
     answer.reply = AnswerApplied(pending.call, result);
+    answer.reply.set_estate_revision(pending.estate_revision);
   } else {
     answer.reply = MakeErrorReply(ResultCode::kNoLeader, "");
     answer.reply.set_proposed(true);
--- a/src/libcontrol/control_core.h
+++ b/src/libcontrol/control_core.h
@@ -108,12 +108,14 @@
     wire::ControlCall call;
     std::uint64_t term = 0;
     std::uint64_t call_token = 0;
+    std::uint64_t estate_revision = 0;  // decided whether to propose the call
   };
 
   void UpdateLeadership();
   void ApplyCommitted(const wire::LogEntry& entry);
   void ApplyCommand(const wire::LogEntry& entry, ApplyResult& result);
   void ReportCommandEvents(const wire::Command& command);
+  void ReplyAsLeader(std::uint64_t call_token, wire::ControlReply reply);
   void OnJobCall(const wire::ControlCall& call,
                  std::uint64_t call_token,
                  TimePoint now);
--- a/src/libcontrol/control_core_test.cc
+++ b/src/libcontrol/control_core_test.cc
@@ -165,6 +165,18 @@
     CHECK(node.lost_workers.empty());
 }
 
+TEST(ControlCore, RepliesTellTheEstateRevisionThatDecidedTheCall) {
+  this->StartAllNodes();
+  this->Run(300);
+  this->SubmitAndFinishJob();
+  LONGS_EQUAL(1, this->replies[this->last_call_token].estate_revision());
+  this->Call("POST", "/estate",
+             R"({"version":2,"estate":{"services":[{"name":"desk"}]}})");
+  LONGS_EQUAL(1, this->replies[this->last_call_token].estate_revision());
+  this->Call("GET", "/estate", "");
+  LONGS_EQUAL(2, this->replies[this->last_call_token].estate_revision());
+}
+
 TEST(ControlCore, StoppingLeaderTransfersLeadershipWithoutDelay) {
   this->StartAllNodes();
   this->Run(300);
--- a/src/libtransport/control_client.cc
+++ b/src/libtransport/control_client.cc
@@ -11,6 +11,15 @@
 // Delay before the next attempt while the group elects a leader.
 constexpr Milliseconds kElectionRetryDelay{60};
 
+void EndHold(TimePoint& held_since, wire::CallHistory& history, TimePoint now) {
+  const TimePoint since = std::exchange(held_since, kNever);
+  if (since == kNever)
+    return;
+  const auto held_ms =
+      static_cast<std::uint32_t>(RemainingTime(since, now).count());
+  history.set_held_ms(history.held_ms() + held_ms);
+}
+
 }  // namespace
 
 ControlClient::ControlClient(ControlClientOptions options)
@@ -39,7 +48,7 @@
       static_cast<std::uint32_t>(NumberOf(ResultCode::kNoLeader));
   if (!not_leader) {
     this->OnLeaderHint(link);
-    this->effects.emplace_back(DeliverReply{.reply = reply});
+    this->Deliver(open, reply, now);
     this->calls.erase(found);
     return;
   }
@@ -48,11 +57,14 @@
     // The replica knows no leader: ask another one after a delay.
     if (this->leader_link() == link)
       this->finder.SelectNext();
+    open.history.set_no_leader(open.history.no_leader() + 1);
     open.answer_deadline = now + kElectionRetryDelay;
     open.asked_link.clear();
+    open.held_since = now;
     return;
   }
   this->OnLeaderHint(reply.leader_link());
+  open.history.set_redirects(open.history.redirects() + 1);
   this->SendToLeader(open, now);
 }
 
@@ -71,6 +83,7 @@
       continue;
     if (!open.asked_link.empty()) {
       open.may_be_committed = true;
+      open.history.set_answer_timeouts(open.history.answer_timeouts() + 1);
       this->effects.emplace_back(
           ReplaceControlConnection{.link = open.asked_link});
       if (this->leader_link() == open.asked_link)
@@ -83,7 +96,7 @@
     reply.set_call_id(id);
     // GET calls change nothing. Other calls that were sent and not rejected may
     // still be committed.
-    const OpenCall& open = this->calls.at(id);
+    OpenCall& open = this->calls.at(id);
     const bool not_committed =
         open.call.method() == "GET" ||
         (!open.may_be_committed && open.asked_link.empty()) ||
@@ -93,7 +106,7 @@
     reply.set_status(static_cast<std::uint32_t>(InfoOf(code).http_status));
     reply.set_result_code(static_cast<std::uint32_t>(NumberOf(code)));
     reply.set_body(ResultBody(code, ""));
-    this->effects.emplace_back(DeliverReply{.reply = std::move(reply)});
+    this->Deliver(open, std::move(reply), now);
     this->calls.erase(id);
   }
 }
@@ -107,6 +120,7 @@
 }
 
 void ControlClient::SendToLeader(OpenCall& open, TimePoint now) {
+  EndHold(open.held_since, open.history, now);
   open.asked_link = this->leader_link();
   open.answer_deadline = now + this->options.answer_timeout;
   open.call.set_remaining_ms(
@@ -115,4 +129,12 @@
       SendCall{.link = open.asked_link, .call = open.call});
 }
 
+void ControlClient::Deliver(OpenCall& open,
+                            wire::ControlReply reply,
+                            TimePoint now) {
+  EndHold(open.held_since, open.history, now);
+  *reply.mutable_history() = open.history;
+  this->effects.emplace_back(DeliverReply{.reply = std::move(reply)});
+}
+
 }  // namespace savoryring
--- a/src/libtransport/control_client.h
+++ b/src/libtransport/control_client.h
@@ -40,6 +40,7 @@
 struct ReplaceControlConnection {
   std::string link;
 };
+/// `reply.history` says why the call waited.
 struct DeliverReply {
   wire::ControlReply reply;
 };
@@ -75,11 +76,14 @@
     wire::ControlCall call;
     TimePoint deadline;
     TimePoint answer_deadline;
-    std::string asked_link;  // empty while waiting for an election
+    std::string asked_link;         // empty while waiting for an election
+    TimePoint held_since = kNever;  // no replica has the call
     TimePoint no_leader_deadline;
     bool may_be_committed = false;  // a leader may have accepted it
+    wire::CallHistory history;
   };
   void SendToLeader(OpenCall& open, TimePoint now);
+  void Deliver(OpenCall& open, wire::ControlReply reply, TimePoint now);
 
   ControlClientOptions options;
   LeaderFinder finder;
