Calls of one process reach the leader in the order in which they came

Cause: the client of the control group timed each call by itself. A call that was at a silent replica stayed there until its own answer timeout (400 ms), one that was told of no leader waited for 60 ms, while later calls went to the new leader at once. Ruled out: the leader. It decides each call when it receives it, by what it has applied; a submission is not decided again when it is committed; a new leader answers only after it has applied what earlier ones committed. So the order of arrival is what counts. Change: while no leader is known, only the oldest open call is sent, to one replica after the other; later ones are held. A redirect or an answer makes the leader known, and all open calls that are not at it are sent to it at once, oldest first. A silent replica's connection is replaced once, for all calls on it. A call that another replica has not answered counts as possibly accepted and is never called not run. After three redirects in a row the next attempt waits for the election delay; before, two replicas that name each other were asked without a pause. Late replies of a replica that a call has left no longer move the other calls. A call whose first replica stays silent beyond the no-leader time is now sent on until its deadline; it failed at that moment before. Repeated sends stay safe: a job id that is known is a resubmission, a cancellation of an ended job has no effect, an estate version that is not above the one in force changes nothing. Conclusion: order holds on links that keep it. A message that is lost when one connection breaks and reopens is sent again after 400 ms, and is decided after later calls; so is a call that a leader rejects in the instant in which its lease is renewed.

--- a/src/libtransport/control_client.cc
+++ b/src/libtransport/control_client.cc
@@ -1,6 +1,6 @@
 #include "libtransport/control_client.h"
 
-#include <algorithm>
+#include <set>
 #include <utility>
 
 #include "savoryring/result.h"
@@ -10,15 +10,9 @@
 
 // Delay before the next attempt while the group elects a leader.
 constexpr Milliseconds kElectionRetryDelay{60};
-
-void EndHold(TimePoint& held_since, wire::CallHistory& history, TimePoint now) {
-  const TimePoint since = std::exchange(held_since, kNever);
-  if (since == kNever)
-    return;
-  const auto held_ms =
-      static_cast<std::uint32_t>(RemainingTime(since, now).count());
-  history.set_held_ms(history.held_ms() + held_ms);
-}
+// Replicas with different views of the leader may redirect to each other. After
+// this many redirects in a row the next attempt is delayed too.
+constexpr int kMaxRedirects = 3;
 
 }  // namespace
 
@@ -33,63 +27,124 @@
   open.call = std::move(call);
   open.deadline = deadline;
   open.no_leader_deadline = now + this->options.no_leader_timeout;
-  this->SendToLeader(open, now);
+  if (this->leader_known)
+    return this->Send(open, now);
+  this->Hold(open, now);
+  this->ProbeReplica(now);
 }
 
 void ControlClient::OnReply(const std::string& link,
                             const wire::ControlReply& reply,
                             TimePoint now) {
+  if (link == this->leader_link())
+    this->probe_answer_deadline = kNever;
   const auto found = this->calls.find(reply.call_id());
   if (found == this->calls.end())
     return;
   OpenCall& open = found->second;
+  // A late reply of a replica that the call has left does not tell who leads.
+  const bool is_current = open.asked_link == link;
   const bool not_leader =
       reply.result_code() ==
       static_cast<std::uint32_t>(NumberOf(ResultCode::kNoLeader));
-  if (!not_leader) {
-    this->OnLeaderHint(link);
-    this->Deliver(open, reply, now);
-    this->calls.erase(found);
+  if (not_leader) {
+    open.may_be_committed = open.may_be_committed || reply.proposed();
+    if (is_current)
+      this->OnNotLeader(open, link, reply, now);
     return;
   }
-  open.may_be_committed = open.may_be_committed || reply.proposed();
-  if (reply.leader_link().empty() || reply.leader_link() == link) {
-    // The replica knows no leader: ask another one after a delay.
-    if (this->leader_link() == link)
-      this->finder.SelectNext();
-    open.history.set_no_leader(open.history.no_leader() + 1);
-    open.answer_deadline = now + kElectionRetryDelay;
-    open.asked_link.clear();
-    open.held_since = now;
+  this->Deliver(open, reply, now);
+  this->calls.erase(found);
+  if (!is_current)
     return;
+  this->redirects = 0;
+  this->OnLeaderFound(link, now);
+}
+
+void ControlClient::OnNotLeader(OpenCall& open,
+                                const std::string& link,
+                                const wire::ControlReply& reply,
+                                TimePoint now) {
+  this->Hold(open, now);
+  const std::string& hint = reply.leader_link();
+  const bool hint_names_other = !hint.empty() && hint != link;
+  if (hint_names_other && this->redirects < kMaxRedirects) {
+    this->redirects += 1;
+    open.history.set_redirects(open.history.redirects() + 1);
+    return this->OnLeaderFound(hint, now);
   }
-  this->OnLeaderHint(reply.leader_link());
-  open.history.set_redirects(open.history.redirects() + 1);
-  this->SendToLeader(open, now);
+  open.history.set_no_leader(open.history.no_leader() + 1);
+  if (this->leader_link() != link)
+    return;
+  this->OnLeaderLost(now + kElectionRetryDelay);
 }
 
-void ControlClient::OnTick(TimePoint now) {
-  std::vector<std::uint64_t> expired;
+// Sends all other calls to the leader, the oldest first. Those that another
+// replica has not answered may be accepted by it.
+void ControlClient::OnLeaderFound(const std::string& link, TimePoint now) {
+  if (this->leader_known && link == this->leader_link())
+    return;
+  this->finder.OnHint(link);
+  this->leader_known = true;
+  this->probe_answer_deadline = kNever;
   for (auto& [id, open] : this->calls) {
-    const bool awaits_answer =
-        !open.asked_link.empty() && now < open.answer_deadline;
-    const bool no_leader = !open.may_be_committed && !awaits_answer &&
-                           now >= open.no_leader_deadline;
-    if (now >= open.deadline || no_leader) {
-      expired.push_back(id);
-      continue;
-    }
-    if (now < open.answer_deadline)
+    if (open.asked_link == link)
       continue;
     if (!open.asked_link.empty()) {
       open.may_be_committed = true;
-      open.history.set_answer_timeouts(open.history.answer_timeouts() + 1);
-      this->effects.emplace_back(
-          ReplaceControlConnection{.link = open.asked_link});
-      if (this->leader_link() == open.asked_link)
-        this->finder.SelectNext();
+      open.history.set_redirects(open.history.redirects() + 1);
     }
-    this->SendToLeader(open, now);
+    this->Send(open, now);
+  }
+}
+
+void ControlClient::OnLeaderLost(TimePoint retry_time) {
+  this->leader_known = false;
+  this->probe_time = retry_time;
+  this->probe_answer_deadline = kNever;
+  this->finder.SelectNext();
+}
+
+void ControlClient::OnTick(TimePoint now) {
+  this->LeaveSilentReplicas(now);
+  this->FailExpiredCalls(now);
+  this->ProbeReplica(now);
+}
+
+void ControlClient::LeaveSilentReplicas(TimePoint now) {
+  std::set<std::string> silent_links;
+  if (now >= this->probe_answer_deadline)
+    silent_links.insert(this->leader_link());
+  for (const auto& [id, open] : this->calls) {
+    if (!open.asked_link.empty() && now >= open.answer_deadline)
+      silent_links.insert(open.asked_link);
+  }
+  for (const std::string& link : silent_links)
+    this->LeaveSilentReplica(link, now);
+}
+
+// No answer can arrive over the connection that is replaced, so that all calls
+// that were sent over it are sent again.
+void ControlClient::LeaveSilentReplica(const std::string& link, TimePoint now) {
+  this->effects.emplace_back(ReplaceControlConnection{.link = link});
+  for (auto& [id, open] : this->calls) {
+    if (open.asked_link != link)
+      continue;
+    open.may_be_committed = true;
+    open.history.set_answer_timeouts(open.history.answer_timeouts() + 1);
+    this->Hold(open, now);
+  }
+  if (this->leader_link() == link)
+    this->OnLeaderLost(now);
+}
+
+void ControlClient::FailExpiredCalls(TimePoint now) {
+  std::vector<std::uint64_t> expired;
+  for (const auto& [id, open] : this->calls) {
+    const bool no_leader = !open.may_be_committed && open.asked_link.empty() &&
+                           now >= open.no_leader_deadline;
+    if (now >= open.deadline || no_leader)
+      expired.push_back(id);
   }
   for (const std::uint64_t id : expired) {
     wire::ControlReply reply;
@@ -111,16 +166,34 @@
   }
 }
 
-void ControlClient::OnLeaderHint(const std::string& link) {
-  this->finder.OnHint(link);
-}
-
 std::vector<ControlClientEffect> ControlClient::TakeEffects() {
   return std::exchange(this->effects, {});
 }
 
-void ControlClient::SendToLeader(OpenCall& open, TimePoint now) {
-  EndHold(open.held_since, open.history, now);
+void ControlClient::AddLinks(const std::vector<std::string>& links) {
+  const std::string before = this->leader_link();
+  this->finder.Add(links);
+  if (this->leader_link() != before)
+    this->leader_known = false;
+}
+
+void ControlClient::ProbeReplica(TimePoint now) {
+  if (this->leader_known || this->calls.empty() || now < this->probe_time)
+    return;
+  OpenCall& oldest = this->calls.begin()->second;
+  if (oldest.asked_link == this->leader_link())
+    return;
+  // An unanswered call at another replica may be accepted there.
+  if (!oldest.asked_link.empty())
+    oldest.may_be_committed = true;
+  this->redirects = 0;
+  this->Send(oldest, now);
+  if (this->probe_answer_deadline == kNever)
+    this->probe_answer_deadline = oldest.answer_deadline;
+}
+
+void ControlClient::Send(OpenCall& open, TimePoint now) {
+  EndHold(open, now);
   open.asked_link = this->leader_link();
   open.answer_deadline = now + this->options.answer_timeout;
   open.call.set_remaining_ms(
@@ -129,10 +202,24 @@
       SendCall{.link = open.asked_link, .call = open.call});
 }
 
+void ControlClient::Hold(OpenCall& open, TimePoint now) {
+  open.asked_link.clear();
+  open.held_since = now;
+}
+
+void ControlClient::EndHold(OpenCall& open, TimePoint now) {
+  const TimePoint held_since = std::exchange(open.held_since, kNever);
+  if (held_since == kNever)
+    return;
+  const auto held_ms =
+      static_cast<std::uint32_t>(RemainingTime(held_since, now).count());
+  open.history.set_held_ms(open.history.held_ms() + held_ms);
+}
+
 void ControlClient::Deliver(OpenCall& open,
                             wire::ControlReply reply,
                             TimePoint now) {
-  EndHold(open.held_since, open.history, now);
+  EndHold(open, now);
   *reply.mutable_history() = open.history;
   this->effects.emplace_back(DeliverReply{.reply = std::move(reply)});
 }
--- a/src/libtransport/control_client.h
+++ b/src/libtransport/control_client.h
@@ -1,7 +1,8 @@
 /// Client of the control group: finds the leader, resends calls that are not
 /// answered, and replaces unresponsive connections. Calls may be sent more than
-/// once, so they must be idempotent. Deterministic: does no I/O and reads no
-/// clock.
+/// once, so they must be idempotent. A leader gets the calls in the order in
+/// which they came, so that a later call is not decided by an older estate.
+/// Deterministic: does no I/O and reads no clock.
 #ifndef SAVORYRING_LIBTRANSPORT_CONTROL_CLIENT_H_
 #define SAVORYRING_LIBTRANSPORT_CONTROL_CLIENT_H_
 
@@ -52,7 +53,7 @@
  public:
   explicit ControlClient(ControlClientOptions options);
 
-  /// Starts a call. `call.call_id` must be unique.
+  /// Starts a call. `call.call_id` must be above those of earlier calls.
   void OnCall(wire::ControlCall call, TimePoint deadline, TimePoint now);
   /// `link` is the address of the replica that replied.
   void OnReply(const std::string& link,
@@ -60,34 +61,48 @@
                TimePoint now);
   /// Resends calls whose answer timed out and fails those past their deadline.
   void OnTick(TimePoint now);
-  /// Another process reported `link` as the leader's; an empty one is ignored.
-  void OnLeaderHint(const std::string& link);
 
   std::vector<ControlClientEffect> TakeEffects();
   /// Link of the presumed leader.
   const std::string& leader_link() const { return this->finder.current(); }
   /// Adds the replicas of changed settings.
-  void AddLinks(const std::vector<std::string>& links) {
-    this->finder.Add(links);
-  }
+  void AddLinks(const std::vector<std::string>& links);
 
  private:
   struct OpenCall {
     wire::ControlCall call;
     TimePoint deadline;
     TimePoint answer_deadline;
-    std::string asked_link;         // empty while waiting for an election
-    TimePoint held_since = kNever;  // no replica has the call
+    std::string asked_link;  // empty while held
+    TimePoint held_since = kNever;
     TimePoint no_leader_deadline;
     bool may_be_committed = false;  // a leader may have accepted it
     wire::CallHistory history;
   };
-  void SendToLeader(OpenCall& open, TimePoint now);
+  void OnNotLeader(OpenCall& open,
+                   const std::string& link,
+                   const wire::ControlReply& reply,
+                   TimePoint now);
+  void OnLeaderFound(const std::string& link, TimePoint now);
+  void OnLeaderLost(TimePoint retry_time);
+  void LeaveSilentReplicas(TimePoint now);
+  void LeaveSilentReplica(const std::string& link, TimePoint now);
+  void FailExpiredCalls(TimePoint now);
+  void ProbeReplica(TimePoint now);
+  void Send(OpenCall& open, TimePoint now);
+  void Hold(OpenCall& open, TimePoint now);
+  static void EndHold(OpenCall& open, TimePoint now);
   void Deliver(OpenCall& open, wire::ControlReply reply, TimePoint now);
 
   ControlClientOptions options;
   LeaderFinder finder;
-  std::map<std::uint64_t, OpenCall> calls;
+  // If true, every open call has been sent to the finder's replica. Otherwise
+  // only the oldest one is sent, to one replica after the other.
+  bool leader_known = false;
+  TimePoint probe_time;                      // no replica is asked before this
+  TimePoint probe_answer_deadline = kNever;  // of the replica being asked
+  int redirects = 0;                         // since the last answer or probe
+  std::map<std::uint64_t, OpenCall> calls;   // oldest first
   std::vector<ControlClientEffect> effects;
 };
 
--- a/src/libtransport/control_client_test.cc
+++ b/src/libtransport/control_client_test.cc
@@ -81,4 +81,94 @@
   LONGS_EQUAL(60, history.held_ms());
 }
 
+// Call 3 waits at a silent replica when call 4 comes.
+TEST(ControlClient, ALaterCallDoesNotOvertakeAHeldCall) {
+  this->Call(1);
+  this->Answer("a", 1);
+  this->Call(2);
+  this->Wait(Milliseconds(200));
+  this->Call(3);
+  this->Wait(Milliseconds(200));
+  this->RejectNotLeader("b", 2, "c");
+  this->Wait(Milliseconds(10));
+  this->Call(4);
+  STRCMP_EQUAL("a:1 a:2 a:3 b:2 c:2 c:3 c:4", this->Sent().c_str());
+}
+
+TEST(ControlClient, ALaterCallWaitsWhileNoLeaderIsKnown) {
+  this->Call(1);
+  this->RejectNotLeader("a", 1);
+  this->Call(2);
+  this->Wait(Milliseconds(60));
+  STRCMP_EQUAL("a:1 b:1", this->Sent().c_str());
+  this->Answer("b", 1);
+  this->Call(3);
+  STRCMP_EQUAL("b:2 b:3", this->Sent().c_str());
+}
+
+TEST(ControlClient, ACallThatALeaderMayHaveIsNotCalledRefused) {
+  this->Call(1);
+  this->Answer("a", 1);
+  this->Call(2);
+  this->Call(3);
+  this->RejectNotLeader("a", 2, "b");
+  STRCMP_EQUAL("a:1 a:2 a:3 b:2 b:3", this->Sent().c_str());
+  this->RejectNotLeader("b", 2);
+  this->RejectNotLeader("b", 3);
+  // Call 2 was rejected by both, call 3 only by "b".
+  for (int i = 0; i < 20; ++i) {
+    this->Wait(Milliseconds(60));
+    for (const char* link : {"a", "b", "c"})
+      this->RejectNotLeader(link, 2);
+  }
+  this->Sent();
+  LONGS_EQUAL(2, this->delivered.size());
+  LONGS_EQUAL(2, this->delivered[1].call_id());
+  LONGS_EQUAL(503, this->delivered[1].status());
+  this->Wait(Milliseconds(2000));
+  this->Sent();
+  LONGS_EQUAL(3, this->delivered.size());
+  LONGS_EQUAL(504, this->delivered[2].status());
+}
+
+TEST(ControlClient, ALateRedirectDoesNotMoveTheCalls) {
+  this->Call(1);
+  this->Answer("a", 1);
+  this->Call(2);
+  this->Call(3);
+  this->RejectNotLeader("a", 2, "b");
+  this->Sent();
+  this->RejectNotLeader("a", 3, "c");
+  STRCMP_EQUAL("", this->Sent().c_str());
+  STRCMP_EQUAL("b", this->client.leader_link().c_str());
+}
+
+TEST(ControlClient, ReplicasThatNameEachOtherAreAskedAFewTimesPerDelay) {
+  constexpr int kCalls = 10;
+  for (std::uint64_t id = 1; id <= kCalls; ++id)
+    this->Call(id);
+  int sends = 0;
+  for (int i = 0; i < 60; ++i) {
+    for (const ControlClientEffect& effect : this->client.TakeEffects()) {
+      const auto* send = std::get_if<SendCall>(&effect);
+      if (send == nullptr)
+        continue;
+      sends += 1;
+      this->RejectNotLeader(send->link, send->call.call_id(),
+                            send->link == "a" ? "b" : "a");
+    }
+    this->Wait(Milliseconds(10));
+  }
+  // 600 ms, which are ten delays of the election.
+  CHECK(sends <= 10 * 4 * kCalls);
+}
+
+TEST(ControlClient, ASilentReplicaIsLeftAlthoughTheCallsExpire) {
+  for (std::uint64_t id = 1; id <= 5; ++id) {
+    this->Call(id, Milliseconds(150));
+    this->Wait(Milliseconds(100));
+  }
+  STRCMP_EQUAL("b", this->client.leader_link().c_str());
+}
+
 }  // namespace savoryring
