Schedules: a later call must not be decided by an older estate

Cause: no schedule checked by which estate revision the calls of one process are decided. Change: the ledger records the revision that decided each call of a gateway or entry, and throws if a call was decided by an older one than another call that the process had sent over 250 ms before. Where messages get lost or overtake each other one by one, which a connection does not do, it counts from the answer of the other call. A new schedule keeps the order of messages on each connection while leaders die, freeze or stop answering on some connections.

--- a/testsuite/schedule/fault_driver.cc
+++ b/testsuite/schedule/fault_driver.cc
@@ -54,6 +54,15 @@
                       .crash_rate = 0.0004}};
 }
 
+FaultPlan LeaderFaultsOnOrderedLinks() {
+  return {.kill_control = Milliseconds(2500),
+          .freeze = Milliseconds(2000),
+          .stalled_connection = Milliseconds(1000),
+          .kill_gateway = Milliseconds(9000),
+          .power_loss = Milliseconds(15'000),
+          .network = {.in_order = true}};
+}
+
 FaultDriver::FaultDriver(TestEstate& estate, const FaultPlan& plan)
     : estate(&estate), plan(plan) {}
 
--- a/testsuite/schedule/fault_driver.h
+++ b/testsuite/schedule/fault_driver.h
@@ -41,6 +41,9 @@
 /// All kinds of faults of an estate with jobs, each every few seconds, except
 /// the isolation of agents.
 FaultPlan AllJobFaults();
+/// Leaders that die, freeze or stop answering on some connections, while the
+/// messages of each connection arrive in order.
+FaultPlan LeaderFaultsOnOrderedLinks();
 
 class FaultDriver {
  public:
--- a/testsuite/schedule/job_schedule_test.cc
+++ b/testsuite/schedule/job_schedule_test.cc
@@ -46,6 +46,10 @@
   ExpectNoViolation(6, AllJobFaults(), 20);
 }
 
+TEST(JobSchedule, ALaterCallIsNotDecidedByAnOlderEstate) {
+  ExpectNoViolation(3, LeaderFaultsOnOrderedLinks(), 40);
+}
+
 TEST(JobSchedule, AgentsThatAreCutOffForLong) {
   ExpectNoViolation(3, LongAgentIsolation(), 20);
 }
--- a/testsuite/schedule/ledger.cc
+++ b/testsuite/schedule/ledger.cc
@@ -1,10 +1,15 @@
 #include "testsuite/schedule/ledger.h"
 
+#include <algorithm>
+
 namespace savoryring {
 namespace {
 
 // Time within which entries must stop sending work to an endpoint that leaves.
 constexpr Milliseconds kLeavingAllowance{3000};
+// Calls sent this soon after a revision was shown may be decided by an older
+// one.
+constexpr Milliseconds kRollbackSlack{250};
 
 std::string NameOf(const Sending& sending) {
   return "request " + std::to_string(sending.request) + " sending " +
@@ -101,6 +106,25 @@
     throw Violation("estate: other content in force on " + process);
 }
 
+void Ledger::OnDecided(const Decision& decision) {
+  auto& uses = this->revision_uses[decision.process];
+  RevisionUse& use = uses[decision.revision];
+  use.first_shown = std::min(use.first_shown, decision.shown);
+  use.last_sent = std::max(use.last_sent, decision.sent);
+  TimePoint newer_shown = kNever;
+  for (auto it = uses.rbegin(); it != uses.rend(); ++it) {
+    const auto& [revision, known] = *it;
+    const bool went_back =
+        newer_shown != kNever && known.last_sent > newer_shown + kRollbackSlack;
+    if (went_back) {
+      throw Violation("estate: a call of " + decision.process +
+                      " was decided by revision " + std::to_string(revision) +
+                      " after a newer one");
+    }
+    newer_shown = std::min(newer_shown, known.first_shown);
+  }
+}
+
 int Ledger::TimesFinished(const std::string& task) const {
   const auto found = this->finished.find(task);
   return found == this->finished.end() ? 0 : found->second;
--- a/testsuite/schedule/ledger.h
+++ b/testsuite/schedule/ledger.h
@@ -29,6 +29,14 @@
   auto operator<=>(const Sending& other) const = default;
 };
 
+/// A call of one process that the leader has decided.
+struct Decision {
+  std::string process;  ///< One incarnation of the caller.
+  TimePoint sent;
+  TimePoint shown;  ///< From then on, the caller relies on the revision.
+  std::uint64_t revision = 0;
+};
+
 class Ledger {
  public:
   // --- Tasks, as workers run them ---
@@ -58,6 +66,9 @@
   void OnInForce(const std::string& process,
                  std::uint64_t revision,
                  const std::string& content);
+  /// Calls that a process sends after it was shown a revision must not be
+  /// decided by an older one.
+  void OnDecided(const Decision& decision);
   std::uint64_t HighestAccepted() const;
   int TimesFinished(const std::string& task) const;
   void ForgetProcess(const std::string& process);
@@ -69,6 +80,11 @@
   std::uint64_t answers_unknown = 0;
 
  private:
+  struct RevisionUse {
+    TimePoint first_shown = kNever;
+    TimePoint last_sent;
+  };
+  std::map<std::string, std::map<std::uint64_t, RevisionUse>> revision_uses;
   std::map<std::string, std::string> running_on;  // worker, by task
   std::map<std::string, Resources> used;          // by worker
   std::map<std::string, int> finished;            // by task
--- a/testsuite/schedule/node.cc
+++ b/testsuite/schedule/node.cc
@@ -131,7 +131,8 @@
   call.set_method(method);
   call.set_path(path);
   call.set_body(body);
-  this->pending_calls[call.call_id()] = std::move(on_reply);
+  this->pending_calls[call.call_id()] = {.sent = this->simulation().now(),
+                                         .on_reply = std::move(on_reply)};
   const TimePoint now = this->LocalNow();
   this->client->OnCall(call, now + timeout, now);
   this->RunClientEffects();
@@ -165,11 +166,26 @@
       const auto found = this->pending_calls.find(reply.call_id());
       if (found == this->pending_calls.end())
         continue;
-      const auto on_reply = std::move(found->second);
+      const PendingCall pending = std::move(found->second);
       this->pending_calls.erase(found);
-      on_reply(reply);
+      this->RecordDecision(pending, reply);
+      pending.on_reply(reply);
     }
   }
 }
 
+// If the network loses or reorders messages, a call can be decided long after
+// it was sent. The caller then relies on the revision from the answer on.
+void ControlClientNode::RecordDecision(const PendingCall& pending,
+                                       const wire::ControlReply& reply) {
+  if (reply.estate_revision() == 0)
+    return;
+  const TimePoint now = this->simulation().now();
+  this->ledger().OnDecided(
+      {.process = this->name() + "/" + std::to_string(this->start_count),
+       .sent = pending.sent,
+       .shown = this->simulation().faults.in_order ? pending.sent : now,
+       .revision = reply.estate_revision()});
+}
+
 }  // namespace savoryring
--- a/testsuite/schedule/node.h
+++ b/testsuite/schedule/node.h
@@ -84,9 +84,15 @@
  private:
   void RunClientEffects();
 
+  struct PendingCall {
+    TimePoint sent;
+    std::function<void(wire::ControlReply)> on_reply;
+  };
+  void RecordDecision(const PendingCall& pending,
+                      const wire::ControlReply& reply);
+
   std::unique_ptr<ControlClient> client;
-  std::map<std::uint64_t, std::function<void(wire::ControlReply)>>
-      pending_calls;
+  std::map<std::uint64_t, PendingCall> pending_calls;
   std::uint64_t next_call = 1;
 };
 
--- a/testsuite/schedule/virtual_world.cc
+++ b/testsuite/schedule/virtual_world.cc
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 
+#include <algorithm>
 #include <iostream>
 #include <utility>
 
@@ -58,7 +59,13 @@
     if (this->Chance(this->faults.long_delay_rate))
       delay += this->RandomTime(Milliseconds(50), Milliseconds(2000));
     const auto jitter = std::chrono::microseconds(this->Random(1000));
-    this->RunAfter(delay + jitter, deliver);
+    TimePoint arrival = this->time + delay + jitter;
+    if (this->faults.in_order) {
+      TimePoint& last_arrival = this->last_arrivals[{direction, connection}];
+      arrival = std::max(arrival, last_arrival);
+      last_arrival = arrival;
+    }
+    this->RunAfter(arrival - this->time, deliver);
   }
 }
 
--- a/testsuite/schedule/virtual_world.h
+++ b/testsuite/schedule/virtual_world.h
@@ -9,6 +9,7 @@
 #include <pcg_random.hpp>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "savoryring/time.h"
 
@@ -28,6 +29,8 @@
   /// Probability that a worker carries out a call late, if messages get lost
   /// too.
   double late_call_rate = 0.02;
+  /// Messages in one direction of a connection arrive in order.
+  bool in_order = false;
 };
 
 /// Sender and receiver of messages.
@@ -76,6 +79,7 @@
 
  private:
   TimePoint time = TimePoint(std::chrono::hours(1));
+  std::map<std::pair<Direction, Direction>, TimePoint> last_arrivals;
   pcg64 random;
   std::uint64_t next_sequence = 0;
   struct EventKey {
