Schedules: lasting tasks run over time, and four faults that they lacked

The schedules asked only 90 s after healing whether lasting tasks run. The job ledger now checks it every 100 ms: calm for 4 s before and for the 3 s, at least two sound workers with room, and 6 s past the task's last run. It is on in every JobSchedule. New faults: workers that fail, reject or ignore starts, and a leader frozen from the moment it has sent the loss of a worker. Draining workers, faulty workers and jobs that fail do not end calm; a faulty, draining or new worker does not count as having room.

--- a/testsuite/schedule/fault_driver.cc
+++ b/testsuite/schedule/fault_driver.cc
@@ -4,6 +4,12 @@
 #include <utility>
 
 namespace savoryring {
+namespace {
+
+// Longer than the lease of an agent, after which its worker is given up.
+constexpr Milliseconds kIsolationOverLease{7500};
+
+}  // namespace
 
 FaultPlan AllFaults() {
   return {.kill_control = Milliseconds(4000),
@@ -63,6 +69,19 @@
           .network = {.in_order = true}};
 }
 
+FaultPlan LastingTaskFaults() {
+  return {.kill_control = Milliseconds(30'000),
+          .freeze = Milliseconds(30'000),
+          .isolate_control = Milliseconds(30'000),
+          .lose_disk = Milliseconds(30'000),
+          .kill_agent = Milliseconds(30'000),
+          .isolate_agent = Milliseconds(30'000),
+          .restart_worker = Milliseconds(30'000),
+          .drain_worker = Milliseconds(7000),
+          .power_loss = Milliseconds(40'000),
+          .replace_control = Milliseconds(40'000)};
+}
+
 FaultDriver::FaultDriver(TestEstate& estate, const FaultPlan& plan)
     : estate(&estate), plan(plan) {}
 
@@ -79,6 +98,15 @@
                       });
 }
 
+void FaultDriver::RepeatFault(Milliseconds mean,
+                              Milliseconds longest,
+                              std::function<void()> action) {
+  this->Repeat(mean, [this, longest, action = std::move(action)] {
+    this->estate->job_ledger.OnFault(this->estate->simulation.now() + longest);
+    action();
+  });
+}
+
 Node* FaultDriver::RandomNode() {
   const std::set<std::string> names = this->estate->Names();
   const auto step = static_cast<std::ptrdiff_t>(
@@ -100,6 +128,8 @@
 
 void FaultDriver::Start() {
   this->estate->simulation.faults = this->plan.network;
+  if (this->plan.network.loss_rate > 0)
+    this->estate->job_ledger.OnFault(this->fault_end);
   this->PlanProcessFaults();
   this->PlanNetworkFaults();
   this->PlanJobFaults();
@@ -107,32 +137,37 @@
 
 void FaultDriver::PlanProcessFaults() {
   Simulation& simulation = this->estate->simulation;
-  this->Repeat(this->plan.kill_control, [this, &simulation] {
-    Node* node = PickRandom(simulation, this->estate->controls);
-    node->Kill();
-    this->RestartSoon(node, Milliseconds(3000));
-  });
-  this->Repeat(this->plan.kill_vm_process, [this, &simulation] {
-    Node* node = PickRandom(simulation, this->estate->vms);
-    node->Kill();
-    this->RestartSoon(node, Milliseconds(5000));
-  });
-  this->Repeat(this->plan.kill_entry, [this, &simulation] {
-    Node* node = PickRandom(simulation, this->estate->entries);
-    node->Kill();
-    this->RestartSoon(node, Milliseconds(1000));
-  });
-  this->Repeat(this->plan.restart_vm, [this, &simulation] {
-    VmNode* node = PickRandom(simulation, this->estate->vms);
-    node->RestartVm();
-    this->RestartSoon(node, Milliseconds(5000));
-  });
-  this->Repeat(this->plan.freeze, [this, &simulation] {
+  this->RepeatFault(
+      this->plan.kill_control, Milliseconds(3000), [this, &simulation] {
+        Node* node = PickRandom(simulation, this->estate->controls);
+        node->Kill();
+        this->RestartSoon(node, Milliseconds(3000));
+      });
+  this->RepeatFault(this->plan.kill_vm_process, Milliseconds(5000),
+                    [this, &simulation] {
+                      Node* node = PickRandom(simulation, this->estate->vms);
+                      node->Kill();
+                      this->RestartSoon(node, Milliseconds(5000));
+                    });
+  this->RepeatFault(
+      this->plan.kill_entry, Milliseconds(1000), [this, &simulation] {
+        Node* node = PickRandom(simulation, this->estate->entries);
+        node->Kill();
+        this->RestartSoon(node, Milliseconds(1000));
+      });
+  this->RepeatFault(this->plan.restart_vm, Milliseconds(5000),
+                    [this, &simulation] {
+                      VmNode* node = PickRandom(simulation, this->estate->vms);
+                      node->RestartVm();
+                      this->RestartSoon(node, Milliseconds(5000));
+                    });
+  this->RepeatFault(this->plan.freeze, Milliseconds(6000), [this, &simulation] {
     this->RandomNode()->Freeze(
         simulation.RandomTime(Milliseconds(50), Milliseconds(6000)));
   });
-  this->Repeat(this->plan.lose_disk, [this] { this->LoseRandomDisk(); });
-  this->Repeat(this->plan.leave, [this, &simulation] {
+  this->RepeatFault(this->plan.lose_disk, Milliseconds(2000),
+                    [this] { this->LoseRandomDisk(); });
+  this->RepeatFault(this->plan.leave, Milliseconds(6500), [this, &simulation] {
     VmNode* node = PickRandom(simulation, this->estate->vms);
     if (!node->IsAlive())
       return;
@@ -157,57 +192,97 @@
 
 void FaultDriver::PlanNetworkFaults() {
   Simulation& simulation = this->estate->simulation;
-  this->Repeat(this->plan.isolate_control, [this, &simulation] {
-    const std::string name =
-        PickRandom(simulation, this->estate->controls)->name();
-    this->IsolateFor(
-        name, simulation.RandomTime(Milliseconds(200), Milliseconds(9000)));
-  });
-  this->Repeat(this->plan.one_way_cut, [this, &simulation] {
-    const Direction direction{.from = this->RandomNode()->name(),
-                              .to = this->RandomNode()->name()};
-    simulation.cut_directions.insert(direction);
-    simulation.RunAfter(
-        simulation.RandomTime(Milliseconds(200), Milliseconds(6000)),
-        [&simulation, direction] {
-          simulation.cut_directions.erase(direction);
-        });
-  });
-  this->Repeat(this->plan.stalled_connection, [this, &simulation] {
-    simulation.stalled_connections.insert(
-        {.from = this->RandomNode()->name(), .to = this->RandomNode()->name()});
-  });
+  this->RepeatFault(
+      this->plan.isolate_control, Milliseconds(9000), [this, &simulation] {
+        const std::string name =
+            PickRandom(simulation, this->estate->controls)->name();
+        this->IsolateFor(
+            name, simulation.RandomTime(Milliseconds(200), Milliseconds(9000)));
+      });
+  this->RepeatFault(
+      this->plan.one_way_cut, Milliseconds(6000), [this, &simulation] {
+        const Direction direction{.from = this->RandomNode()->name(),
+                                  .to = this->RandomNode()->name()};
+        simulation.cut_directions.insert(direction);
+        simulation.RunAfter(
+            simulation.RandomTime(Milliseconds(200), Milliseconds(6000)),
+            [&simulation, direction] {
+              simulation.cut_directions.erase(direction);
+            });
+      });
+  this->RepeatFault(this->plan.stalled_connection, Milliseconds(5000),
+                    [this, &simulation] {
+                      simulation.stalled_connections.insert(
+                          {.from = this->RandomNode()->name(),
+                           .to = this->RandomNode()->name()});
+                    });
 }
 
 void FaultDriver::PlanJobFaults() {
   Simulation& simulation = this->estate->simulation;
-  this->Repeat(this->plan.kill_agent, [this, &simulation] {
-    Node* node = PickRandom(simulation, this->estate->agents);
-    node->Kill();
-    this->RestartSoon(node, Milliseconds(5000));
-  });
-  this->Repeat(this->plan.kill_gateway, [this, &simulation] {
-    Node* node = PickRandom(simulation, this->estate->gateways);
-    node->Kill();
-    this->RestartSoon(node, Milliseconds(1000));
+  this->RepeatFault(this->plan.kill_agent, Milliseconds(5000),
+                    [this, &simulation] {
+                      Node* node = PickRandom(simulation, this->estate->agents);
+                      node->Kill();
+                      this->RestartSoon(node, Milliseconds(5000));
+                    });
+  this->RepeatFault(
+      this->plan.kill_gateway, Milliseconds(1000), [this, &simulation] {
+        Node* node = PickRandom(simulation, this->estate->gateways);
+        node->Kill();
+        this->RestartSoon(node, Milliseconds(1000));
+      });
+  this->RepeatFault(
+      this->plan.isolate_agent, Milliseconds(14'000), [this, &simulation] {
+        const std::string name =
+            PickRandom(simulation, this->estate->agents)->name();
+        this->IsolateFor(name, simulation.RandomTime(Milliseconds(500),
+                                                     Milliseconds(14'000)));
+      });
+  this->RepeatFault(
+      this->plan.restart_worker, Milliseconds(4000), [this, &simulation] {
+        PickRandom(simulation, this->estate->agents)
+            ->worker.Restart(
+                simulation.RandomTime(Milliseconds(100), Milliseconds(4000)));
+      });
+  this->Repeat(this->plan.drain_worker, [this, &simulation] {
+    PickRandom(simulation, this->estate->agents)->worker.Drain();
   });
-  this->Repeat(this->plan.isolate_agent, [this, &simulation] {
-    const std::string name =
-        PickRandom(simulation, this->estate->agents)->name();
-    this->IsolateFor(
-        name, simulation.RandomTime(Milliseconds(500), Milliseconds(14'000)));
+  this->Repeat(this->plan.fail_starts, [this, &simulation] {
+    PickRandom(simulation, this->estate->agents)
+        ->worker.FailStarts(
+            simulation.RandomTime(Milliseconds(1000), Milliseconds(5000)));
   });
-  this->Repeat(this->plan.restart_worker, [this, &simulation] {
+  this->Repeat(this->plan.ignore_starts, [this, &simulation] {
     PickRandom(simulation, this->estate->agents)
-        ->worker.Restart(
-            simulation.RandomTime(Milliseconds(100), Milliseconds(4000)));
+        ->worker.IgnoreStarts(
+            simulation.RandomTime(Milliseconds(1000), Milliseconds(6000)));
   });
-  this->Repeat(this->plan.drain_worker, [this, &simulation] {
-    PickRandom(simulation, this->estate->agents)->worker.Drain();
+  this->Repeat(this->plan.reject_starts, [this, &simulation] {
+    PickRandom(simulation, this->estate->agents)
+        ->worker.RejectStarts(
+            simulation.RandomTime(Milliseconds(1000), Milliseconds(5000)));
   });
-  this->Repeat(this->plan.power_loss, [this] { this->LosePower(); });
-  this->Repeat(this->plan.replace_control,
-               [this] { this->ReplaceRandomControl(); });
+  this->RepeatFault(this->plan.freeze_leader_at_loss, kIsolationOverLease,
+                    [this] { this->FreezeLeaderAtLoss(); });
+  this->RepeatFault(this->plan.power_loss, Milliseconds(1000),
+                    [this] { this->LosePower(); });
+  this->RepeatFault(this->plan.replace_control, Milliseconds(4000),
+                    [this] { this->ReplaceRandomControl(); });
+}
+
+// The freeze is longer than the leader's lease in the group and, mostly, too
+// short for the election of another leader.
+void FaultDriver::FreezeLeaderAtLoss() {
+  Simulation& simulation = this->estate->simulation;
+  const std::string agent =
+      PickRandom(simulation, this->estate->agents)->name();
+  const Milliseconds length =
+      simulation.RandomTime(Milliseconds(250), Milliseconds(300));
+  for (const auto& node : this->estate->controls)
+    node->FreezeAfterLoss(agent, length);
+  this->IsolateFor(
+      agent, simulation.RandomTime(Milliseconds(6500), kIsolationOverLease));
 }
 
 // Kills all control processes; their disks keep what was stored.
--- a/testsuite/schedule/fault_driver.h
+++ b/testsuite/schedule/fault_driver.h
@@ -23,9 +23,15 @@
   // For schedules with jobs:
   Milliseconds kill_agent{0};
   Milliseconds kill_gateway{0};
-  Milliseconds isolate_agent{0};    ///< Sometimes for longer than a lease.
-  Milliseconds restart_worker{0};   ///< Starts a new worker incarnation.
-  Milliseconds drain_worker{0};     ///< Announces the end of a worker first.
+  Milliseconds isolate_agent{0};   ///< Sometimes for longer than a lease.
+  Milliseconds restart_worker{0};  ///< Starts a new worker incarnation.
+  Milliseconds drain_worker{0};    ///< Announces the end of a worker first.
+  Milliseconds fail_starts{0};     ///< A worker fails all that it starts.
+  Milliseconds ignore_starts{0};   ///< A worker answers no start calls.
+  Milliseconds reject_starts{0};   ///< A worker rejects start calls.
+  /// Isolates an agent until its worker is given up, and freezes the leader
+  /// while that loss is being committed.
+  Milliseconds freeze_leader_at_loss{0};
   Milliseconds power_loss{0};       ///< Kills all controls at the same time.
   Milliseconds replace_control{0};  ///< Its successor has a new address.
   NetworkFaults network;
@@ -45,6 +51,10 @@
 /// messages of each connection arrive in order.
 FaultPlan LeaderFaultsOnOrderedLinks();
 
+/// Faults without loss of messages, so seldom that calm stretches lie between
+/// them, beside draining workers.
+FaultPlan LastingTaskFaults();
+
 class FaultDriver {
  public:
   /// `estate` must outlive the driver.
@@ -55,6 +65,10 @@
   void Start();
   /// Repeats the action at random intervals, `mean` on average, until the end.
   void Repeat(Milliseconds mean, std::function<void()> action);
+  /// The same for a fault, each of which is over after `longest`.
+  void RepeatFault(Milliseconds mean,
+                   Milliseconds longest,
+                   std::function<void()> action);
   /// Whether the group has as many voters as it can have and all are alive,
   /// each with its current disk.
   bool GroupIsComplete();
@@ -68,6 +82,7 @@
   Node* RandomNode();
   void LoseRandomDisk();
   void LosePower();
+  void FreezeLeaderAtLoss();
   void ReplaceRandomControl();
   void RetireWhenGroupIsComplete(ControlNode* node);
 
--- a/testsuite/schedule/job_ledger.cc
+++ b/testsuite/schedule/job_ledger.cc
@@ -35,8 +35,11 @@
   job.sent += 1;
 }
 
-void JobLedger::OnAccepted(const std::string& job) {
-  this->known_jobs.at(job).accepted = true;
+void JobLedger::OnAccepted(const std::string& id, TimePoint now) {
+  KnownJob& job = this->known_jobs.at(id);
+  if (!job.accepted)
+    job.accepted_at = now;
+  job.accepted = true;
 }
 
 void JobLedger::OnRefused(const std::string& id) {
@@ -68,12 +71,13 @@
 
 void JobLedger::OnRunChange(const std::string& incarnation_name,
                             const WorkerCapacity& capacity,
-                            const ModelRunChange& change) {
+                            const ModelRunChange& change,
+                            TimePoint now) {
   Incarnation& incarnation = this->incarnations[incarnation_name];
   if (change.started)
     this->OnRunStarted(incarnation, incarnation_name, capacity, change);
   else
-    this->OnRunEnded(incarnation, change);
+    this->OnRunEnded(incarnation, change, now);
 }
 
 void JobLedger::OnRunStarted(Incarnation& incarnation,
@@ -99,6 +103,10 @@
       job.spec.steps(static_cast<int>(change.task.step()));
   incarnation.used.cpu_milli += step.cpu_milli();
   incarnation.used.memory_mb += step.memory_mb();
+  incarnation.peak_used.cpu_milli =
+      std::max(incarnation.peak_used.cpu_milli, incarnation.used.cpu_milli);
+  incarnation.peak_used.memory_mb =
+      std::max(incarnation.peak_used.memory_mb, incarnation.used.memory_mb);
   if (incarnation.used.cpu_milli > capacity.cpu_milli ||
       incarnation.used.memory_mb > capacity.memory_mb)
     throw Violation("capacity: " + task + " overfills " + incarnation_name);
@@ -130,13 +138,16 @@
 }
 
 void JobLedger::OnRunEnded(Incarnation& incarnation,
-                           const ModelRunChange& change) {
+                           const ModelRunChange& change,
+                           TimePoint now) {
   const std::string task = TaskNameText(change.task);
   const KnownJob& job = this->known_jobs.at(change.task.job());
   const wire::JobStep& step =
       job.spec.steps(static_cast<int>(change.task.step()));
   this->running_on.erase(task);
   incarnation.running.erase(task);
+  if (step.lasting())
+    this->last_ends[task] = now;
   incarnation.used.cpu_milli -= step.cpu_milli();
   incarnation.used.memory_mb -= step.memory_mb();
   incarnation.runs_of_step[StepName(change.task)] -= 1;
@@ -173,9 +184,29 @@
     incarnation.void_up_to = incarnation.ends.rbegin()->first;
 }
 
-void JobLedger::OnIncarnationEnded(const std::string& incarnation_name) {
-  for (const std::string& task : this->incarnations[incarnation_name].running)
+void JobLedger::OnIncarnationStarted(const std::string& incarnation,
+                                     const WorkerCapacity& capacity,
+                                     TimePoint now) {
+  Incarnation& started = this->incarnations[incarnation];
+  started.capacity = capacity;
+  started.sound_since = now;
+}
+
+void JobLedger::OnDraining(const std::string& incarnation) {
+  this->incarnations[incarnation].draining = true;
+}
+
+void JobLedger::OnFaulty(const std::string& incarnation, TimePoint until) {
+  Incarnation& faulty = this->incarnations[incarnation];
+  faulty.sound_since = std::max(faulty.sound_since, until);
+}
+
+void JobLedger::OnIncarnationEnded(const std::string& incarnation_name,
+                                   TimePoint now) {
+  for (const std::string& task : this->incarnations[incarnation_name].running) {
     this->running_on.erase(task);
+    this->last_ends[task] = now;
+  }
   this->incarnations.erase(incarnation_name);
 }
 
--- a/testsuite/schedule/job_ledger.h
+++ b/testsuite/schedule/job_ledger.h
@@ -8,8 +8,10 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "libjobs/jobs.pb.h"
+#include "savoryring/time.h"
 #include "testsuite/workers/model_worker.h"
 
 namespace savoryring {
@@ -27,6 +29,7 @@
     std::uint64_t sent = 0;
     std::uint64_t refused = 0;
     bool accepted = false;
+    TimePoint accepted_at;
     bool cancel_sent = false;
     bool cancelled = false;  ///< The cancellation was acknowledged.
     bool started = false;
@@ -34,7 +37,7 @@
 
   // --- Clients ---
   void OnSent(const wire::JobSpec& spec);
-  void OnAccepted(const std::string& job);
+  void OnAccepted(const std::string& job, TimePoint now);
   void OnRefused(const std::string& job);
   void OnCancelSent(const std::string& job);
   void OnCancelled(const std::string& job);
@@ -42,9 +45,16 @@
   void OnStateShown(const std::string& job, const std::string& state);
 
   // --- Workers; `incarnation` names one incarnation of one worker ---
+  void OnIncarnationStarted(const std::string& incarnation,
+                            const WorkerCapacity& capacity,
+                            TimePoint now);
+  void OnDraining(const std::string& incarnation);
+  /// The worker itself is faulty until then; the others are not affected.
+  void OnFaulty(const std::string& incarnation, TimePoint until);
   void OnRunChange(const std::string& incarnation,
                    const WorkerCapacity& capacity,
-                   const ModelRunChange& change);
+                   const ModelRunChange& change,
+                   TimePoint now);
   /// The worker was told that its run ends up to this number are recorded.
   void OnEndsAcknowledged(const std::string& incarnation, std::uint64_t up_to);
   /// The worker's hold has expired. A finished run that it had listed by then
@@ -52,7 +62,15 @@
   /// entitled to give the run up in between. Failed runs count all the same.
   void OnHoldLapsed(const std::string& incarnation);
   /// The incarnation is gone, with all runs in it.
-  void OnIncarnationEnded(const std::string& incarnation);
+  void OnIncarnationEnded(const std::string& incarnation, TimePoint now);
+
+  // --- Lasting tasks ---
+  /// A fault of a process, a worker or the network lasts until `until`.
+  void OnFault(TimePoint until);
+  /// Throws Violation if a lasting task has been without a run for too long
+  /// although all was calm and several workers had room. To be called at short
+  /// intervals.
+  void CheckLastingTasks(TimePoint now);
 
   /// Throws Violation if an accepted job has not ended.
   void CheckAllDone() const;
@@ -73,7 +91,11 @@
     std::map<std::uint64_t, End> ends;
     std::uint64_t acknowledged_up_to = 0;
     std::uint64_t void_up_to = 0;  // ends listed before the hold expired
+    WorkerCapacity capacity;
     WorkerCapacity used;
+    WorkerCapacity peak_used;  // since the last check of lasting tasks
+    bool draining = false;
+    TimePoint sound_since;
     std::map<std::string, std::uint32_t> runs_of_step;
   };
 
@@ -81,13 +103,19 @@
                     const std::string& name,
                     const WorkerCapacity& capacity,
                     const ModelRunChange& change);
-  void OnRunEnded(Incarnation& incarnation, const ModelRunChange& change);
+  void OnRunEnded(Incarnation& incarnation,
+                  const ModelRunChange& change,
+                  TimePoint now);
   void CheckStart(const KnownJob& job, const ModelRunChange& change) const;
   bool IsStepDone(const KnownJob& job,
                   std::uint32_t occurrence,
                   std::uint32_t step) const;
   bool IsAllDone(const KnownJob& job) const;
   bool HasFailed(const KnownJob& job) const;
+  void CheckLastingStep(const KnownJob& job, int step, TimePoint now);
+  std::vector<std::string> WorkersWithRoom(const KnownJob& job,
+                                           int step,
+                                           TimePoint now) const;
 
   std::map<std::string, KnownJob> known_jobs;
   std::map<std::string, Incarnation> incarnations;
@@ -96,6 +124,9 @@
   std::set<std::string> acknowledged_done;        // by task
   std::map<std::string, std::uint32_t> failures;  // by task
   std::map<std::string, std::uint32_t> acknowledged_failures;  // by task
+  std::map<std::string, TimePoint> last_ends;   // of lasting tasks
+  std::map<std::string, TimePoint> owed_since;  // lasting tasks without a run
+  TimePoint calm_since;
 };
 
 }  // namespace savoryring
--- a/testsuite/schedule/job_nodes.cc
+++ b/testsuite/schedule/job_nodes.cc
@@ -46,6 +46,11 @@
   this->worker = ModelWorker();
   this->seen_hold_lapses = 0;
   this->born_ms = ToMilliseconds(this->test_estate->simulation.now());
+  this->fail_starts_until = this->ignore_starts_until =
+      this->reject_starts_until = TimePoint();
+  this->test_estate->job_ledger.OnIncarnationStarted(
+      this->IncarnationName(), kWorkerCapacity,
+      this->test_estate->simulation.now());
   this->Announce(this->born_ms);
 }
 
@@ -55,7 +60,8 @@
   this->Advance();
   this->alive = false;
   this->test_estate->simulation.Trace(this->IncarnationName() + " dies");
-  this->test_estate->job_ledger.OnIncarnationEnded(this->IncarnationName());
+  this->test_estate->job_ledger.OnIncarnationEnded(
+      this->IncarnationName(), this->test_estate->simulation.now());
   this->test_estate->simulation.RunAfter(pause, [this] { this->Start(); });
 }
 
@@ -64,6 +70,8 @@
     return;
   this->draining = true;
   Simulation& simulation = this->test_estate->simulation;
+  simulation.Trace(this->IncarnationName() + " drains");
+  this->test_estate->job_ledger.OnDraining(this->IncarnationName());
   simulation.RunAfter(
       simulation.RandomTime(Milliseconds(2500), Milliseconds(8000)),
       [this, born_ms = this->born_ms, &simulation] {
@@ -75,6 +83,28 @@
       });
 }
 
+void WorkerHost::FailStarts(Milliseconds length) {
+  this->SetFaulty(this->fail_starts_until, length);
+}
+
+void WorkerHost::IgnoreStarts(Milliseconds length) {
+  this->SetFaulty(this->ignore_starts_until, length);
+}
+
+void WorkerHost::RejectStarts(Milliseconds length) {
+  this->SetFaulty(this->reject_starts_until, length);
+}
+
+void WorkerHost::SetFaulty(TimePoint& until, Milliseconds length) {
+  if (!this->alive)
+    return;
+  until = this->test_estate->simulation.now() + length;
+  this->test_estate->simulation.Trace(this->IncarnationName() +
+                                      " is faulty until " +
+                                      std::to_string(ToMilliseconds(until)));
+  this->test_estate->job_ledger.OnFaulty(this->IncarnationName(), until);
+}
+
 // Advances the model and announces the worker, at every heartbeat interval.
 void WorkerHost::Announce(std::int64_t born_ms) {
   if (!this->alive || this->born_ms != born_ms)
@@ -104,7 +134,8 @@
         this->IncarnationName() + " " + TaskNameText(change.task) + " run " +
         std::to_string(change.run) + (change.started ? " begins" : " ends: ") +
         (change.started ? "" : RunEndName(change.how)));
-    ledger.OnRunChange(this->IncarnationName(), kWorkerCapacity, change);
+    ledger.OnRunChange(this->IncarnationName(), kWorkerCapacity, change,
+                       this->test_estate->simulation.now());
   }
   if (this->worker.hold_lapses() != this->seen_hold_lapses) {
     this->seen_hold_lapses = this->worker.hold_lapses();
@@ -130,6 +161,31 @@
   });
 }
 
+void WorkerHost::CallStart(const StartCall& call, AnswerCallback on_outcome) {
+  const Simulation& simulation = this->test_estate->simulation;
+  const bool fails = simulation.now() < this->fail_starts_until;
+  const WorkerCall execute = [call, fails](ModelWorker& model, TimePoint now) {
+    return model.Start(call, now, fails);
+  };
+  if (simulation.now() < this->reject_starts_until) {
+    return this->Call(
+        call.born_ms,
+        [](ModelWorker&, TimePoint) { return CallOutcome::kRejected; },
+        std::move(on_outcome));
+  }
+  if (simulation.now() >= this->ignore_starts_until)
+    return this->Call(call.born_ms, execute, std::move(on_outcome));
+  constexpr double kExecutedLateRate = 0.5;
+  Simulation& random = this->test_estate->simulation;
+  if (!random.Chance(kExecutedLateRate))
+    return;
+  random.RunAfter(random.RandomTime(Milliseconds(10), kMaxCallDelay),
+                  [this, born_ms = call.born_ms, execute] {
+                    this->Execute(born_ms, execute,
+                                  [](CallOutcome, TimePoint) {});
+                  });
+}
+
 void WorkerHost::Execute(std::int64_t born_ms,
                          const WorkerCall& call,
                          const AnswerCallback& on_outcome) {
@@ -226,6 +282,15 @@
                            WorkerCall call,
                            TimePoint deadline,
                            std::function<void(CallOutcome)> on_outcome) {
+  this->worker.Call(
+      born_ms, std::move(call),
+      this->ExpectAnswer(born_ms, deadline, std::move(on_outcome)));
+}
+
+AnswerCallback AgentNode::ExpectAnswer(
+    std::int64_t born_ms,
+    TimePoint deadline,
+    std::function<void(CallOutcome)> on_outcome) {
   auto settled = std::make_shared<bool>(false);
   const auto settle = [this, settled, on_outcome = std::move(on_outcome),
                        call_start_count =
@@ -239,9 +304,11 @@
       this->RunEffects();
     });
   };
-  const auto on_answer = [this, settle, worker_born_ms = born_ms,
-                          call_start_count = this->start_count](
-                             CallOutcome outcome, TimePoint worker_time) {
+  this->simulation().RunAfter(deadline - this->LocalNow(),
+                              [settle] { settle(CallOutcome::kNoAnswer); });
+  return [this, settle, worker_born_ms = born_ms,
+          call_start_count = this->start_count](CallOutcome outcome,
+                                                TimePoint worker_time) {
     const bool current = this->IsAlive() &&
                          this->start_count == call_start_count &&
                          this->known_born_ms == worker_born_ms;
@@ -249,9 +316,6 @@
       this->clock_reading = {.worker = worker_time, .own = this->LocalNow()};
     settle(outcome);
   };
-  this->worker.Call(born_ms, std::move(call), on_answer);
-  this->simulation().RunAfter(deadline - this->LocalNow(),
-                              [settle] { settle(CallOutcome::kNoAnswer); });
 }
 
 void AgentNode::RunEffects() {
@@ -262,15 +326,12 @@
     } else if (const auto* start = std::get_if<StartCall>(&effect)) {
       StartCall sent = *start;
       sent.hold_until = this->WorkerTime(start->hold_until);
-      this->CallWorker(
-          sent.born_ms,
-          [sent](ModelWorker& model, TimePoint time) {
-            return model.Start(sent, time);
-          },
-          now + kCallTimeout,
-          [this, call = *start](CallOutcome outcome) {
-            this->core->OnStartResult(call, outcome, this->LocalNow());
-          });
+      this->worker.CallStart(
+          sent, this->ExpectAnswer(sent.born_ms, now + kCallTimeout,
+                                   [this, call = *start](CallOutcome outcome) {
+                                     this->core->OnStartResult(
+                                         call, outcome, this->LocalNow());
+                                   }));
     } else if (const auto* stop = std::get_if<StopCall>(&effect)) {
       this->CallWorker(
           stop->born_ms,
--- a/testsuite/schedule/job_nodes.h
+++ b/testsuite/schedule/job_nodes.h
@@ -32,6 +32,13 @@
   void Restart(Milliseconds pause);
   /// Announces that it is draining, runs on for some seconds, then restarts.
   void Drain();
+  /// For `length`, everything that it starts fails soon.
+  void FailStarts(Milliseconds length);
+  /// For `length`, start calls get no answer, and are carried out late or
+  /// never.
+  void IgnoreStarts(Milliseconds length);
+  /// For `length`, start calls are rejected.
+  void RejectStarts(Milliseconds length);
   /// Advances the model to the present and passes its changes to the ledger.
   void Advance();
 
@@ -39,11 +46,13 @@
   /// incarnation that started at `born_ms`. `on_outcome` runs when the answer
   /// arrives; answers can get lost, and the agent may have timed out by then.
   void Call(std::int64_t born_ms, WorkerCall call, AnswerCallback on_outcome);
+  void CallStart(const StartCall& call, AnswerCallback on_outcome);
 
  private:
   TimePoint LocalNow() const;
   std::string IncarnationName() const;
   void Announce(std::int64_t born_ms);
+  void SetFaulty(TimePoint& until, Milliseconds length);
   void Execute(std::int64_t born_ms,
                const WorkerCall& call,
                const AnswerCallback& on_outcome);
@@ -56,6 +65,10 @@
   std::int64_t born_ms = 0;
   bool alive = false;
   bool draining = false;
+  // Faults of start calls, in simulated time.
+  TimePoint fail_starts_until;
+  TimePoint ignore_starts_until;
+  TimePoint reject_starts_until;
 };
 
 class AgentNode : public Node {
@@ -89,6 +102,9 @@
                   WorkerCall call,
                   TimePoint deadline,
                   std::function<void(CallOutcome)> on_outcome);
+  AnswerCallback ExpectAnswer(std::int64_t born_ms,
+                              TimePoint deadline,
+                              std::function<void(CallOutcome)> on_outcome);
 
   std::unique_ptr<WorkerAgent> core;
   std::unique_ptr<LeaderContact> contact;
--- a/testsuite/schedule/job_schedule.cc
+++ b/testsuite/schedule/job_schedule.cc
@@ -12,6 +12,8 @@
 
 constexpr Milliseconds kGroupFormationTime{6000};
 constexpr Milliseconds kRecoveryTime{90'000};
+// When the runs of the first jobs and the suspensions that they cause are over.
+constexpr Milliseconds kLateSubmission{70'000};
 constexpr int kMaxSendings = 6;
 constexpr std::uint64_t kAttempts = 3;
 const std::string kQueue = "cure";
@@ -30,9 +32,12 @@
 
 }  // namespace
 
-JobSchedule::JobSchedule(const ScheduleOptions& options, const FaultPlan& plan)
+JobSchedule::JobSchedule(const ScheduleOptions& options,
+                         const FaultPlan& plan,
+                         const JobLoad& load)
     : estate(options),
       faults(this->estate, plan),
+      load(load),
       parsed_estate(ParseEstate(EstateText(0))) {}
 
 void JobSchedule::Run(Milliseconds length) {
@@ -40,12 +45,19 @@
   simulation.RunUntil(simulation.now() + kGroupFormationTime);
   this->SubmitFirstEstate();
   simulation.RunUntil(simulation.now() + Milliseconds(2000));
+  this->CheckLastingTasks();
+  for (std::uint64_t i = 0; i < this->load.first_lasting_jobs; ++i)
+    this->SubmitLastingJob(1);
+  for (int i = 0; i < this->load.first_failing_waves; ++i)
+    this->SubmitFailingJobs();
+  if (this->load.late_lasting_tasks > 0) {
+    simulation.RunAfter(kLateSubmission, [this] {
+      this->SubmitLastingJob(this->load.late_lasting_tasks);
+    });
+  }
   const TimePoint end = simulation.now() + length;
   this->faults.SetEnd(end);
-  this->faults.Repeat(Milliseconds(400), [this] { this->SubmitJob(); });
-  this->faults.Repeat(Milliseconds(900), [this] { this->SubmitEstate(); });
-  this->faults.Repeat(Milliseconds(1500), [this] { this->CancelRandomJob(); });
-  this->faults.Repeat(Milliseconds(100), [this] { this->QueryRandomJob(); });
+  this->StartClients();
   this->faults.Start();
   simulation.RunUntil(end);
   this->estate.Heal();
@@ -53,6 +65,28 @@
   this->CheckAllDone();
 }
 
+void JobSchedule::StartClients() {
+  this->faults.Repeat(this->load.mixed_job, [this] { this->SubmitJob(); });
+  this->faults.Repeat(Milliseconds(900), [this] { this->SubmitEstate(); });
+  this->faults.Repeat(this->load.cancellation,
+                      [this] { this->CancelRandomJob(); });
+  this->faults.Repeat(Milliseconds(100), [this] { this->QueryRandomJob(); });
+  this->faults.Repeat(this->load.lasting_job,
+                      [this] { this->SubmitLastingJob(3); });
+  this->faults.Repeat(this->load.short_job, [this] { this->SubmitShortJob(); });
+  this->faults.Repeat(this->load.failing_jobs,
+                      [this] { this->SubmitFailingJobs(); });
+  this->faults.Repeat(this->load.drain_of_worker,
+                      [this] { this->DrainWorkerBesideArrivals(); });
+}
+
+void JobSchedule::CheckLastingTasks() {
+  constexpr Milliseconds kCheckInterval{100};
+  this->estate.job_ledger.CheckLastingTasks(this->estate.simulation.now());
+  this->estate.simulation.RunAfter(kCheckInterval,
+                                   [this] { this->CheckLastingTasks(); });
+}
+
 // --- Operators ---
 
 void JobSchedule::SubmitFirstEstate() {
@@ -91,12 +125,16 @@
 
 // --- Clients ---
 
+std::string JobSchedule::NextJobId() const {
+  return "lot-" + std::to_string(this->documents.size() + 1);
+}
+
 std::string JobSchedule::CreateJob() {
   Simulation& simulation = this->estate.simulation;
   const auto number = [&simulation](std::uint64_t min, std::uint64_t max) {
     return min + simulation.Random(max - min + 1);
   };
-  const std::string id = "lot-" + std::to_string(this->documents.size() + 1);
+  const std::string id = this->NextJobId();
   json step{{"count", number(1, 6)},
             {"processors", static_cast<double>(number(2, 8)) / 4},
             {"memory_mb", number(100, 900)},
@@ -147,6 +185,69 @@
   this->SendJob(this->CreateJob(), 1);
 }
 
+void JobSchedule::SubmitLastingJob(std::uint64_t count) {
+  const std::string id = this->NextJobId();
+  const json step{{"count", count},
+                  {"processors", 0.1},
+                  {"memory_mb", 50},
+                  {"estimated_ms", 1000},
+                  {"lasting", true}};
+  this->documents[id] = json{
+      {"id", id},
+      {"queue", kQueue},
+      {"payload", "lasts=1"},
+      {"steps", {step}}}.dump();
+  this->SendJob(id, 1);
+}
+
+void JobSchedule::SubmitShortJob() {
+  Simulation& simulation = this->estate.simulation;
+  const std::string id = this->NextJobId();
+  const json step{{"count", 1 + simulation.Random(12)},
+                  {"processors", 1},
+                  {"memory_mb", 100},
+                  {"estimated_ms", 1000}};
+  this->documents[id] = json{
+      {"id", id},
+      {"queue", kQueue},
+      {"payload", "work_ms=" + std::to_string(300 + simulation.Random(1000))},
+      {"steps", {step}}}.dump();
+  this->SendJob(id, 1);
+}
+
+void JobSchedule::SubmitFailingJobs() {
+  constexpr int kJobs = 4;
+  Simulation& simulation = this->estate.simulation;
+  for (int i = 0; i < kJobs; ++i) {
+    const std::string id = this->NextJobId();
+    const json step{{"count", 1 + simulation.Random(6)},
+                    {"processors", 0.5},
+                    {"memory_mb", 100},
+                    {"estimated_ms", 1000}};
+    this->documents[id] = json{
+        {"id", id},
+        {"queue", kQueue},
+        {"payload",
+         "fails=100 work_ms=" + std::to_string(50 + simulation.Random(500))},
+        {"steps", {step}}}.dump();
+    this->SendJob(id, 1);
+  }
+}
+
+// Lasting jobs arrive until the worker's next heartbeat has announced that it
+// drains.
+void JobSchedule::DrainWorkerBesideArrivals() {
+  constexpr int kJobs = 8;
+  Simulation& simulation = this->estate.simulation;
+  this->estate.agents[simulation.Random(this->estate.agents.size())]
+      ->worker.Drain();
+  for (int i = 0; i < kJobs; ++i) {
+    simulation.RunAfter(
+        simulation.RandomTime(Milliseconds(0), kHeartbeatInterval),
+        [this] { this->SubmitLastingJob(3); });
+  }
+}
+
 // A client that gets no definite answer sends the same job again, by a random
 // gateway.
 void JobSchedule::SendJob(const std::string& id, int sending) {
@@ -178,7 +279,7 @@
   constexpr std::uint32_t kAccepted = 202;
   constexpr std::uint32_t kRefused = 503;
   if (reply.status() == kAccepted) {
-    this->estate.job_ledger.OnAccepted(id);
+    this->estate.job_ledger.OnAccepted(id, simulation.now());
     if (simulation.Chance(0.1))
       this->ResendLater(id, sending, Milliseconds(5000));
     return;
--- a/testsuite/schedule/job_schedule_test.cc
+++ b/testsuite/schedule/job_schedule_test.cc
@@ -15,16 +15,18 @@
 
 void ExpectNoViolation(int controls,
                        const FaultPlan& plan,
-                       std::uint64_t count) {
+                       std::uint64_t count,
+                       const JobLoad& load = {},
+                       int agents = 4) {
   const std::string violation = FirstViolation(count, [&](std::uint64_t seed) {
     JobSchedule schedule({.seed = seed,
                           .controls = controls,
                           .vms = 0,
                           .entries = 0,
-                          .agents = 4,
+                          .agents = agents,
                           .gateways = 2,
                           .open_membership = true},
-                         plan);
+                         plan, load);
     schedule.Run(kLength);
   });
   STRCMP_EQUAL("", violation.c_str());
@@ -32,6 +34,8 @@
 
 }  // namespace
 
+// Lasting tasks: only the named faults and loads, so that the rest is calm.
+
 TEST_GROUP(JobSchedule){};
 
 TEST(JobSchedule, CalmRunDoesAllWork) {
@@ -58,4 +62,66 @@
   ExpectNoViolation(3, LongAgentIsolationWithLateCalls(), 20);
 }
 
+TEST(JobSchedule, LastingTasksRunBesideDrainingWorkers) {
+  ExpectNoViolation(3, {}, 9,
+                    {.mixed_job = Milliseconds(0),
+                     .cancellation = Milliseconds(0),
+                     .drain_of_worker = Milliseconds(4000)});
+}
+
+TEST(JobSchedule, LastingTasksRunBesideJobsThatFail) {
+  ExpectNoViolation(3, {}, 3,
+                    {.mixed_job = Milliseconds(0),
+                     .cancellation = Milliseconds(0),
+                     .lasting_job = Milliseconds(2000),
+                     .failing_jobs = Milliseconds(2000)});
+}
+
+TEST(JobSchedule, LastingTasksRunOnWorkersOnProbation) {
+  ExpectNoViolation(3, {}, 2,
+                    {.mixed_job = Milliseconds(0),
+                     .cancellation = Milliseconds(0),
+                     .first_failing_waves = 2,
+                     .late_lasting_tasks = 24});
+}
+
+TEST(JobSchedule, LastingTasksRunBesideWorkersThatFail) {
+  ExpectNoViolation(3, {.fail_starts = Milliseconds(3000)}, 4,
+                    {.first_lasting_jobs = 12}, 6);
+}
+
+TEST(JobSchedule, LastingTasksRunBesideWorkersThatAnswerNoStarts) {
+  ExpectNoViolation(3, {.ignore_starts = Milliseconds(5000)}, 21,
+                    {.first_lasting_jobs = 12});
+}
+
+TEST(JobSchedule, LastingTasksRunBesideWorkersThatRejectStarts) {
+  ExpectNoViolation(3, {.reject_starts = Milliseconds(3000)}, 4,
+                    {.first_lasting_jobs = 12}, 6);
+}
+
+TEST(JobSchedule, LastingTasksRunAfterALeaderWasFrozen) {
+  ExpectNoViolation(3, {.freeze_leader_at_loss = Milliseconds(6000)}, 3,
+                    {.mixed_job = Milliseconds(0),
+                     .cancellation = Milliseconds(0),
+                     .late_lasting_tasks = 24});
+}
+
+TEST(JobSchedule, LastingTasksRunAfterAgentsWereRestarted) {
+  ExpectNoViolation(3, {.kill_agent = Milliseconds(13'000)}, 4,
+                    {.first_lasting_jobs = 12});
+}
+
+TEST(JobSchedule, LastingTasksRunBesideShortJobs) {
+  ExpectNoViolation(3, {.drain_worker = Milliseconds(6000)}, 3,
+                    {.mixed_job = Milliseconds(0),
+                     .cancellation = Milliseconds(0),
+                     .first_lasting_jobs = 12,
+                     .short_job = Milliseconds(150)});
+}
+
+TEST(JobSchedule, LastingTasksRunInCalmStretchesBetweenFaults) {
+  ExpectNoViolation(3, LastingTaskFaults(), 6, {.first_lasting_jobs = 12});
+}
+
 }  // namespace savoryring
--- a/testsuite/schedule/nodes.cc
+++ b/testsuite/schedule/nodes.cc
@@ -11,6 +11,14 @@
 constexpr Milliseconds kElection{300};
 constexpr Milliseconds kReplicaHeartbeat{60};
 
+bool HasLossOf(const std::string& agent, const wire::LogEntry& entry) {
+  wire::Command command;
+  return command.ParseFromString(entry.command()) &&
+         std::ranges::any_of(
+             command.job_command().losses(),
+             [&agent](const auto& loss) { return loss.agent() == agent; });
+}
+
 bool IsReply(const wire::ReplicaMessage& message) {
   return message.has_hello_reply() || message.has_vote_reply() ||
          message.has_append_reply();
@@ -110,6 +118,7 @@
 
 void ControlNode::Flush() {
   const bool early = this->test_estate->options.mutations.reply_before_sync;
+  bool loss_sent = false;
   while (true) {
     const ReplicaOutput output = this->control->TakeOutput(this->LocalNow());
     // The process may crash before the records are stored, or after that but
@@ -126,10 +135,25 @@
     this->CheckInvariants(output);
     if (!early)
       this->Send(output);
+    loss_sent = loss_sent || this->IsAwaitedLoss(output);
     if (this->control->IsSettled())
       break;
   }
   this->RunEffects();
+  if (!loss_sent)
+    return;
+  this->simulation().Trace(this->name() + " freezes after a loss");
+  this->freeze_after_loss_of.clear();
+  this->Freeze(this->freeze_length);
+}
+
+bool ControlNode::IsAwaitedLoss(const ReplicaOutput& output) const {
+  return !this->freeze_after_loss_of.empty() &&
+         this->control->replica().IsLeader() &&
+         std::ranges::any_of(
+             output.append, [this](const wire::LogEntry& entry) {
+               return HasLossOf(this->freeze_after_loss_of, entry);
+             });
 }
 
 void ControlNode::Store(const ReplicaOutput& output) {
--- a/testsuite/schedule/nodes.h
+++ b/testsuite/schedule/nodes.h
@@ -52,6 +52,12 @@
 
   void LoseDisk();
   void AllowGroupFormation() { this->may_form_group = true; }
+  /// Freezes as soon as it has sent the loss of this agent's worker to the
+  /// group, before it learns that the loss is committed.
+  void FreezeAfterLoss(const std::string& agent, Milliseconds length) {
+    this->freeze_after_loss_of = agent;
+    this->freeze_length = length;
+  }
   void OnReplicaMessage(const wire::ReplicaMessage& message);
   void OnHeartbeat(const wire::WorkerHeartbeat& heartbeat,
                    std::uint64_t sender_incarnation);
@@ -76,14 +82,17 @@
   void Store(const ReplicaOutput& output);
   void Send(const ReplicaOutput& output);
   void RunEffects();
+  bool IsAwaitedLoss(const ReplicaOutput& output) const;
   void CheckInvariants(const ReplicaOutput& output);
   void TraceEvent(const OperatorEvent& event);
   void TraceMessage(const OutgoingReplicaMessage& outgoing) const;
 
   Disk disk;
   std::unique_ptr<ControlCore> control;
-  bool has_started = false;     // at least once
-  bool may_form_group = false;  // on its first start
+  bool has_started = false;          // at least once
+  bool may_form_group = false;       // on its first start
+  std::string freeze_after_loss_of;  // an agent; empty: none
+  Milliseconds freeze_length{0};
   std::uint64_t next_call_token = 1;
   std::map<std::uint64_t, std::function<void(wire::ControlReply)>>
       pending_calls;
--- a/testsuite/workers/model_worker.cc
+++ b/testsuite/workers/model_worker.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::uint32_t kPercent = 100;
+// How long a run lasts on a faulty worker.
+constexpr Milliseconds kFaultyRunTime{50};
 
 std::uint32_t ToNumber(const std::string& text) {
   std::uint32_t number = 0;
@@ -52,7 +54,9 @@
   this->hold_end = std::max(this->hold_end, bounded);
 }
 
-CallOutcome ModelWorker::Start(const StartCall& call, TimePoint now) {
+CallOutcome ModelWorker::Start(const StartCall& call,
+                               TimePoint now,
+                               bool faulty) {
   this->Advance(now);
   if (!this->AcceptToken(call.token))
     return CallOutcome::kStaleToken;
@@ -80,7 +84,8 @@
       .saved_work = Milliseconds(ToNumber(call.order.checkpoint())),
       .work_begin =
           now + (resumes ? this->options.restore_time : Milliseconds(0)),
-      .cpu_milli = call.order.cpu_milli()};
+      .cpu_milli = call.order.cpu_milli(),
+      .faulty = faulty};
   this->changes.push_back(
       {.task = call.order.task(), .run = number, .started = true});
   return CallOutcome::kDone;
@@ -151,6 +156,8 @@
       ended_runs.emplace_back(name, wire::RUN_END_LAPSED);
     else if (run.stop_at != TimePoint() && now >= run.stop_at)
       ended_runs.emplace_back(name, wire::RUN_END_STOPPED);
+    else if (run.faulty && now >= run.work_begin + kFaultyRunTime)
+      ended_runs.emplace_back(name, wire::RUN_END_FAILED);
     else if (completed && run.run <= run.behaviour.failing_runs)
       ended_runs.emplace_back(name, wire::RUN_END_FAILED);
     else if (completed)
--- a/testsuite/workers/model_worker.h
+++ b/testsuite/workers/model_worker.h
@@ -50,7 +50,8 @@
   ModelWorker() = default;
   explicit ModelWorker(ModelWorkerOptions options) : options(options) {}
 
-  CallOutcome Start(const StartCall& call, TimePoint now);
+  /// With `faulty`, the run fails soon, whatever its task.
+  CallOutcome Start(const StartCall& call, TimePoint now, bool faulty = false);
   CallOutcome Stop(const StopCall& call, TimePoint now);
   /// Returns at once; waiting until `call.wait_deadline` is up to the caller.
   CallOutcome Watch(const WatchCall& call,
@@ -76,6 +77,7 @@
     TimePoint stop_at;  // when a stop takes effect; TimePoint() if none
     std::uint32_t speed_percent = 100;
     std::uint32_t cpu_milli = 0;
+    bool faulty = false;
   };
 
   bool AcceptToken(std::uint64_t token);
