A stopping HTTP server answers the requests that have arrived

Cause, by reading: ulfius_stop_framework makes libmicrohttpd shut every connection down in both directions and then wait for the handlers, so that the response of a request that is open at that moment is lost. Whether one was open was counted in the handlers only: a response that was handled but not yet written, or a request that came after the last check on a connection that stays open, did not count. Duties without such a count (the agent's frontend, the HTTP servers of control, entry and endpoint) did not wait at all.

Change: the server itself counts requests from the request line until the response is written (HttpServer::IsIdle), through libmicrohttpd's callbacks. When it stops it completes open requests, closes the listener, stops reading from its connections, answers what has already arrived, and only then stops ulfius. What is cut all the same is logged as the new event 1205 request-cut, with the time that its caller still waited. libmicrohttpd is now linked by name; it already came with ulfius.

Evidence: with the destructor as it was, AnswersARequestThatHasArrived... and AnswersOpenAndLateRequests... of HttpServer fail; with the change the group passes. Holding a response that is not read shows that IsIdle covers writing.

A connection that the kernel has accepted but the server has not, at the moment when the listener closes, is still reset, as is a request that arrives after its connection's last read.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 #   make proto      regenerate the protobuf code
 
 BUILD ?= build
-PACKAGES := libulfius-dev libcurl4-gnutls-dev libzmq3-dev cppzmq-dev libprotobuf-dev \
+PACKAGES := libulfius-dev libmicrohttpd-dev libcurl4-gnutls-dev libzmq3-dev cppzmq-dev libprotobuf-dev \
   protobuf-compiler libboost-log-dev libboost-thread-dev libgflags-dev \
   libcpputest-dev nlohmann-json3-dev libxxhash-dev libpcg-cpp-dev
 TOOLS := git g++ cmake ninja-build pkg-config curl
--- a/src/libbase/events.cc
+++ b/src/libbase/events.cc
@@ -71,6 +71,8 @@
               "a caller was told that its request may have run"},
     EventInfo{kAttemptRetried, "attempt-retried", kDebug,
               "another attempt at a request is sent to an endpoint"},
+    EventInfo{kRequestCut, "request-cut", kWarning,
+              "the process stopped before it answered an open request"},
     EventInfo{kEndpointAppeared, "endpoint-appeared", kInfo,
               "an endpoint announced itself"},
     EventInfo{kEndpointLeft, "endpoint-left", kInfo,
--- a/src/libbase/events.h
+++ b/src/libbase/events.h
@@ -31,6 +31,7 @@
   kRequestRefused = 1202,
   kOutcomeUnknown = 1203,
   kAttemptRetried = 1204,
+  kRequestCut = 1205,
   kEndpointAppeared = 1301,
   kEndpointLeft = 1302,
   kEndpointEjected = 1303,
--- a/src/libtransport/http.h
+++ b/src/libtransport/http.h
@@ -53,9 +53,16 @@
   std::string address;  ///< "IP:PORT"
   /// Requests with a larger body get the result kBodyTooLarge.
   std::uint64_t body_limit_bytes = 1U << 20U;
+  /// Maximum time that the destructor waits for open requests, and then for
+  /// connections to close. Requests that take longer must be waited for before.
+  Milliseconds close_timeout{150};
+  /// Returns the deadline that the handler gives to a request that arrived at
+  /// the given time; only logged. May be empty.
+  std::function<TimePoint(const HttpRequest&, TimePoint)> deadline_of;
 };
 
-/// A listening HTTP server. The destructor stops it.
+/// A listening HTTP server. The destructor stops it: it answers the requests
+/// that have arrived, and logs those that are not answered in time.
 class HttpServer {
  public:
   /// Throws Error (kAddressInUse).
@@ -64,6 +71,12 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  /// From now on, each response closes its connection, so that clients move to
+  /// another process. Thread safe.
+  void Leave();
+  /// Whether no request is being received, handled or answered. Thread safe.
+  bool IsIdle() const;
+
  private:
   struct State;
   std::unique_ptr<State> state;
--- a/src/savoryringd/endpoint_duty.cc
+++ b/src/savoryringd/endpoint_duty.cc
@@ -82,6 +82,7 @@
 
 void EndpointDuty::Leave() {
   this->leaving = true;
+  this->server->Leave();
   this->loop.Post([this] {
     const TimePoint now = BootClock::now();
     this->admission.Leave(now);
@@ -92,6 +93,8 @@
 }
 
 bool EndpointDuty::IsIdle() {
+  if (!this->server->IsIdle())
+    return false;
   const auto idle = this->loop.Call<bool>(
       [this] {
         const bool no_leased_tasks = !this->runner.HasRunning() ||
