Calls taken while a process drains are answered before it ends

Cause: a draining gateway takes calls and holds them until the caller's deadline (2.85 s and more) if no leader answers, while the drain ends 5 s after SIGTERM, whatever is open. A call sent later than 2.15 s after the signal, or with a longer deadline, outlives the process. The same holds for operators' calls to a control: they are held for 2.5 s, and its drain is 1.5 s.

Change: DrainPolicy holds, as points in time, by when the last answer must be out (0.5 s before the drain ends, or half of a short drain) and until when calls are taken (0.4 s earlier). ControlCaller caps all calls by it, also those that are open when SIGTERM comes; a call that may have been committed gets 504. A call that comes later is refused with 503 not-ready before it is sent to any control. While it drains a gateway refuses calls once no leader has answered for 1.2 s, instead of 2.5 s. Before the process stops it refuses calls and then waits for open ones again, so that none can come in between. The settings of the deployment stay.

Ruled out: the kill (it comes 6 s after SIGTERM; the connections closed after 5.0 s); the worker's agent (its drain of 10 ms holds no calls to the control group, and the server's stop answers the announcements that have arrived).

Conclusion: the cause of the cut calls is mended for gateways and controls.

--- a/src/savoryringd/control_caller.cc
+++ b/src/savoryringd/control_caller.cc
@@ -1,5 +1,6 @@
 #include "savoryringd/control_caller.h"
 
+#include <algorithm>
 #include <charconv>
 #include <future>
 #include <memory>
@@ -23,6 +24,16 @@
   return response;
 }
 
+wire::ControlReply MakeUnknownOutcomeReply(std::uint64_t call_id) {
+  constexpr ResultCode kCode = ResultCode::kNotCommittedInTime;
+  wire::ControlReply reply;
+  reply.set_call_id(call_id);
+  reply.set_status(static_cast<std::uint32_t>(InfoOf(kCode).http_status));
+  reply.set_result_code(static_cast<std::uint32_t>(NumberOf(kCode)));
+  reply.set_body(ResultBody(kCode, ""));
+  return reply;
+}
+
 }  // namespace
 
 ControlCaller::ControlCaller(Link& link, ControlClientOptions options)
@@ -33,8 +44,10 @@
                          TimePoint now,
                          ReplyCallback callback) {
   call.set_call_id(++this->last_call_id);
-  this->callbacks[this->last_call_id] = std::move(callback);
-  this->client.OnCall(std::move(call), deadline, now);
+  const TimePoint limited = std::min(deadline, this->latest_deadline);
+  this->calls[this->last_call_id] = {.callback = std::move(callback),
+                                     .deadline = limited};
+  this->client.OnCall(std::move(call), limited, now);
 }
 
 void ControlCaller::OnReply(const Received& message, TimePoint now) {
@@ -45,6 +58,19 @@
 
 void ControlCaller::OnTick(TimePoint now) {
   this->client.OnTick(now);
+  if (now >= this->latest_deadline)
+    this->EndCallsAfterLimit();
+}
+
+// The client answers calls with an earlier deadline itself.
+void ControlCaller::EndCallsAfterLimit() {
+  std::vector<std::uint64_t> late;
+  for (const auto& [id, open] : this->calls) {
+    if (open.deadline > this->latest_deadline)
+      late.push_back(id);
+  }
+  for (const std::uint64_t id : late)
+    this->Deliver(MakeUnknownOutcomeReply(id));
 }
 
 void ControlCaller::RunEffects() {
@@ -76,13 +102,7 @@
       RemainingTime(BootClock::now(), deadline) + kReplyGracePeriod;
   if (future_reply.wait_for(wait) == std::future_status::ready)
     return future_reply.get();
-  wire::ControlReply timeout_reply;
-  const ResultCode code = ResultCode::kNotCommittedInTime;
-  timeout_reply.set_status(
-      static_cast<std::uint32_t>(InfoOf(code).http_status));
-  timeout_reply.set_result_code(static_cast<std::uint32_t>(NumberOf(code)));
-  timeout_reply.set_body(ResultBody(code, ""));
-  return timeout_reply;
+  return MakeUnknownOutcomeReply(0);
 }
 
 HttpResponse ControlCaller::Forward(const HttpRequest& request,
@@ -96,11 +116,11 @@
 }
 
 void ControlCaller::Deliver(const wire::ControlReply& reply) {
-  const auto found = this->callbacks.find(reply.call_id());
-  if (found == this->callbacks.end())
+  const auto found = this->calls.find(reply.call_id());
+  if (found == this->calls.end())
     return;
-  const ReplyCallback callback = std::move(found->second);
-  this->callbacks.erase(found);
+  const ReplyCallback callback = std::move(found->second.callback);
+  this->calls.erase(found);
   callback(reply);
 }
 
--- a/src/savoryringd/control_caller.h
+++ b/src/savoryringd/control_caller.h
@@ -36,6 +36,9 @@
   void AddLinks(const std::vector<std::string>& links) {
     this->client.AddLinks(links);
   }
+  /// Answers all calls by `latest`, also those that are already open: their
+  /// outcome is then unknown.
+  void LimitDeadlines(TimePoint latest) { this->latest_deadline = latest; }
   void OnTick(TimePoint now);
   /// Link of the replica that is believed to be the leader.
   const std::string& leader_link() const { return this->client.leader_link(); }
@@ -56,12 +59,18 @@
                        DutyLoop& loop);
 
  private:
+  struct OpenCall {
+    ReplyCallback callback;
+    TimePoint deadline;  // that the client knows
+  };
   void Deliver(const wire::ControlReply& reply);
+  void EndCallsAfterLimit();
 
   Link* link;
   ControlClient client;
   std::uint64_t last_call_id = 0;
-  std::map<std::uint64_t, ReplyCallback> callbacks;
+  std::map<std::uint64_t, OpenCall> calls;
+  TimePoint latest_deadline = kNever;
 };
 
 /// The deadline of a request: `now` plus its Savoryring-Timeout-Ms header, or
--- a/src/savoryringd/control_duty.cc
+++ b/src/savoryringd/control_duty.cc
@@ -112,10 +112,18 @@
 
 void ControlDuty::Leave() {
   this->leaving = true;
-  this->loop.Post([this] { this->core.TransferLeadership(BootClock::now()); });
+  if (this->server)
+    this->server->Leave();
+  this->loop.Post([this] {
+    this->control_caller.LimitDeadlines(
+        this->process->drain().AnswerDeadline(kNever));
+    this->core.TransferLeadership(BootClock::now());
+  });
 }
 
 bool ControlDuty::IsIdle() {
+  if (this->server && !this->server->IsIdle())
+    return false;
   const auto idle =
       this->loop.Call<bool>([this] { return !this->core.HasOpenCalls(); },
                             BootClock::now() + Milliseconds(200));
@@ -138,7 +146,10 @@
 
 HttpResponse ControlDuty::Forward(const HttpRequest& request,
                                   TimePoint deadline) {
-  return this->control_caller.Forward(request, deadline, this->loop);
+  if (!this->process->drain().AcceptsCall(BootClock::now()))
+    return MakeResultResponse(ResultCode::kNotReady, "");
+  return this->control_caller.Forward(
+      request, this->process->drain().AnswerDeadline(deadline), this->loop);
 }
 
 void ControlDuty::OnMessage(const Received& message, TimePoint now) {
--- a/src/savoryringd/gateway_duty.cc
+++ b/src/savoryringd/gateway_duty.cc
@@ -11,6 +11,8 @@
 constexpr Milliseconds kPingInterval{500};
 // If the leader has not answered for this long, calls are refused at once.
 constexpr Milliseconds kLeaderTimeout{2500};
+// The same while the process drains, when callers are better off elsewhere.
+constexpr Milliseconds kDrainLeaderTimeout{1200};
 
 ControlClientOptions MakeOptions(const Settings& settings) {
   return {.links = ControlLinksOf(settings), .no_leader_timeout = kRefuseAfter};
@@ -42,38 +44,62 @@
   this->loop.Start();
 }
 
+void GatewayDuty::Leave() {
+  this->leaving = true;
+  this->loop.Post([this] {
+    this->control_caller.LimitDeadlines(
+        this->process->drain().AnswerDeadline(kNever));
+  });
+}
+
 void GatewayDuty::Stop() {
   this->loop.Stop();
 }
 
 wire::ControlReply GatewayDuty::Call(const wire::JobCall& call,
                                      TimePoint deadline) {
-  if (!this->IsReady())
-    return MakeErrorReply(ResultCode::kNoLeader);
+  const ResultCode admitted = this->AdmitCall();
+  if (admitted != ResultCode::kOk)
+    return MakeErrorReply(admitted);
   this->open_calls += 1;
   wire::ControlCall control_call;
   control_call.set_method("JOB");
   control_call.set_body(call.SerializeAsString());
   wire::ControlReply reply = this->control_caller.CallAndWait(
-      std::move(control_call), deadline, this->loop);
+      std::move(control_call), this->process->drain().AnswerDeadline(deadline),
+      this->loop);
   this->open_calls -= 1;
   return reply;
 }
 
+ResultCode GatewayDuty::AdmitCall() const {
+  if (!this->process->drain().AcceptsCall(BootClock::now()))
+    return ResultCode::kNotReady;
+  const Milliseconds timeout =
+      this->leaving ? kDrainLeaderTimeout : kLeaderTimeout;
+  return this->HasLeaderAnswered(timeout) ? ResultCode::kOk
+                                          : ResultCode::kNoLeader;
+}
+
 HttpResponse GatewayDuty::Forward(const HttpRequest& request,
                                   TimePoint deadline) {
+  if (!this->process->drain().AcceptsCall(BootClock::now()))
+    return MakeResultResponse(ResultCode::kNotReady, "");
   this->open_calls += 1;
-  HttpResponse response =
-      this->control_caller.Forward(request, deadline, this->loop);
+  HttpResponse response = this->control_caller.Forward(
+      request, this->process->drain().AnswerDeadline(deadline), this->loop);
   this->open_calls -= 1;
   return response;
 }
 
 bool GatewayDuty::IsReady() const {
+  return this->HasLeaderAnswered(kLeaderTimeout);
+}
+
+bool GatewayDuty::HasLeaderAnswered(Milliseconds within) const {
   const auto answered =
       FromNanoseconds(static_cast<std::uint64_t>(this->last_answer_ns.load()));
-  return this->last_answer_ns != 0 &&
-         BootClock::now() < answered + kLeaderTimeout;
+  return this->last_answer_ns != 0 && BootClock::now() < answered + within;
 }
 
 void GatewayDuty::OnMessage(const Received& message, TimePoint now) {
--- a/src/savoryringd/gateway_duty.h
+++ b/src/savoryringd/gateway_duty.h
@@ -23,22 +23,26 @@
   ~GatewayDuty() override;
 
   void Start() override;
-  void Leave() override { this->leaving = true; }
+  void Leave() override;
   bool IsIdle() override { return this->open_calls == 0; }
   void Stop() override;
 
   /// Forwards a job call to the leader and waits for the reply until
   /// `deadline`. If no leader is reachable and none can have accepted the call,
   /// returns kNoLeader early; if one may have accepted it, returns
-  /// kNotCommittedInTime at the deadline. Thread safe.
+  /// kNotCommittedInTime at the deadline. While the process drains, the limits
+  /// of Process::drain() apply. Thread safe.
   wire::ControlReply Call(const wire::JobCall& call, TimePoint deadline);
   HttpResponse Forward(const HttpRequest& request, TimePoint deadline) override;
   /// Whether the leader has answered recently, so that calls are likely to be
   /// answered. Thread safe.
   bool IsReady() const;
-  bool IsLeaving() const { return this->leaving; }
 
  private:
+  /// kOk if a call that arrives now is forwarded, otherwise the result that it
+  /// is refused with.
+  ResultCode AdmitCall() const;
+  bool HasLeaderAnswered(Milliseconds within) const;
   void OnMessage(const Received& message, TimePoint now) override;
   void OnTick(TimePoint now) override;
   void OnBatchEnd(TimePoint now) override;
--- a/src/savoryringd/main.cc
+++ b/src/savoryringd/main.cc
@@ -61,21 +61,32 @@
   return duties;
 }
 
+void WaitUntilIdle(const std::vector<std::unique_ptr<Duty>>& duties,
+                   TimePoint deadline) {
+  const auto all_idle = [&duties] {
+    return std::ranges::all_of(duties,
+                               [](const auto& duty) { return duty->IsIdle(); });
+  };
+  while (BootClock::now() < deadline && !all_idle())
+    std::this_thread::sleep_for(kDrainPollInterval);
+}
+
 // Keeps the listeners open until the load balancer has seen /readyz fail, then
-// waits until requests in flight are complete, at most until the drain timeout.
+// waits until requests in flight are complete, at most until the end of the
+// drain. No request is accepted between the last check and the return.
 void Drain(const std::vector<std::unique_ptr<Duty>>& duties,
-           const TimingSettings& timing) {
+           const TimingSettings& timing,
+           DrainPolicy& policy) {
   LogEvent(Event::kDraining, {});
   const TimePoint begin = BootClock::now();
+  const TimePoint end = begin + timing.drain;
+  policy.Begin(begin, end);
   for (const auto& duty : duties)
     duty->Leave();
   std::this_thread::sleep_for(timing.balancer_notice);
-  const auto all_idle = [&duties] {
-    return std::ranges::all_of(duties,
-                               [](const auto& duty) { return duty->IsIdle(); });
-  };
-  while (BootClock::now() < begin + timing.drain && !all_idle())
-    std::this_thread::sleep_for(kDrainPollInterval);
+  WaitUntilIdle(duties, end);
+  policy.RefuseNewCalls();
+  WaitUntilIdle(duties, end);
 }
 
 int Run(const std::string& path) {
@@ -90,7 +101,7 @@
     LogEvent(Event::kStarted, {{"settings", path}});
     SettingsWatcher watcher(path, process);
     watcher.RunUntilEndSignal(signals);
-    Drain(duties, settings.timing);
+    Drain(duties, settings.timing, process.drain());
     // A platform front comes after the duty that it calls, and must be stopped
     // before it.
     std::for_each(duties.rbegin(), duties.rend(),
--- a/src/savoryringd/process.h
+++ b/src/savoryringd/process.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "libbase/drain_policy.h"
 #include "libbase/metrics.h"
 #include "libbase/trace.h"
 #include "libtransport/http.h"
@@ -27,6 +28,8 @@
   /// Identifies this run of the process; increases with every start.
   std::uint64_t incarnation() const { return this->process_incarnation; }
   Metrics& metrics() { return this->process_metrics; }
+  /// Limits calls once the process drains.
+  DrainPolicy& drain() { return this->drain_policy; }
   SpanWriter& spans() { return this->span_writer; }
   /// Applies the only part of the settings that may change while the process
   /// runs: the links of the control replicas.
@@ -44,6 +47,7 @@
   std::atomic<std::uint64_t> reload_count{0};
   std::vector<std::string> current_control_links;
   Metrics process_metrics;
+  DrainPolicy drain_policy;
   SpanWriter span_writer;
   std::mutex mutex;
   pcg64 random;
@@ -54,10 +58,10 @@
  public:
   virtual ~Duty() = default;
   virtual void Start() = 0;
-  /// Starts draining. /readyz fails from now on, so that the process gets no
-  /// new work.
+  /// Starts draining, within the limits of Process::drain(). /readyz fails from
+  /// now on, so that the process gets no new work.
   virtual void Leave() = 0;
-  /// Whether no work is in flight.
+  /// Whether no work is in flight and every response is written.
   virtual bool IsIdle() = 0;
   virtual void Stop() = 0;
 };
