A draining entry answers its open requests before it ends

What callers would see: a request to a service with a timeout that is longer than the rest of the drain is cut without an answer, and the process waits for its thread until that timeout, so that it may be killed.

Cause: an entry takes requests while it drains and keeps them until their own deadlines.

Change: the router limits all deadlines, also of open requests, to the last time for an answer, less the time to settle a claim; its answers stay as they are: 504 outcome-unknown where an attempt may have run, else not run. A request that could no longer be answered is refused with 503 before an attempt is sent.

An endpoint process has no callers: an entry whose attempt is lost with it gives a whole answer (outcome-unknown). So its work is not cut short.

Evidence: two tests of the router, at the exact time. An entry that drains with long requests was not run as a process, except for case graceful.

--- a/src/librouting/router.cc
+++ b/src/librouting/router.cc
@@ -52,7 +52,8 @@
   this->budget.OnRequest();
   OpenRequest& open = this->requests[request.id];
   open.request = request;
-  open.next_check = request.deadline;
+  open.request.deadline = std::min(request.deadline, this->latest_deadline);
+  open.next_check = open.request.deadline;
   this->checks.insert({.deadline = open.next_check, .request = request.id});
   const bool needs_claim = !request.key.empty() && !request.repeatable &&
                            !this->options.mutations.skip_claims;
@@ -65,6 +66,14 @@
       RequestClaim{.request = request.id, .key = request.key});
 }
 
+void Router::LimitDeadlines(TimePoint latest) {
+  this->latest_deadline = latest;
+  for (auto& [id, open] : this->requests) {
+    open.request.deadline = std::min(open.request.deadline, latest);
+    this->ScheduleCheck(open);
+  }
+}
+
 void Router::OnClaim(std::uint64_t request,
                      wire::ClaimState state,
                      TimePoint now) {
--- a/src/librouting/router.h
+++ b/src/librouting/router.h
@@ -135,6 +135,8 @@
   void OnAttemptStatus(const AttemptStatus& status, TimePoint now);
   void OnClaim(std::uint64_t request, wire::ClaimState state, TimePoint now);
   void OnTick(TimePoint now);
+  /// Finishes all requests by `latest`, also those that are already open.
+  void LimitDeadlines(TimePoint latest);
 
   std::vector<RouterEffect> TakeEffects();
 
@@ -214,6 +216,7 @@
   RetryBudget budget;
   std::map<std::string, ServiceSpec> services;
   std::map<std::uint64_t, OpenRequest> requests;
+  TimePoint latest_deadline = kNever;
   std::map<std::uint64_t, std::uint64_t> request_of_attempt;
   std::set<Check> checks;
   std::uint64_t next_counter = 1;
--- a/src/librouting/router_test.cc
+++ b/src/librouting/router_test.cc
@@ -66,6 +66,30 @@
   }
 };
 
+TEST(Router, ADrainingEntryAnswersOpenRequestsBeforeItStops) {
+  this->Begin({"x"});
+  this->Request(false);
+  ReportStatus(this->Find<SendAttempt>()->key, wire::ATTEMPT_STARTED,
+               ResultCode::kOk);
+  this->router->LimitDeadlines(this->now + Milliseconds(300));
+  this->Wait(Milliseconds(299));
+  CHECK(!this->Find<AnswerWithCode>());
+  this->Wait(Milliseconds(1));
+  CHECK(this->Find<AnswerWithCode>()->code == ResultCode::kOutcomeUnknown);
+}
+
+TEST(Router, ARequestThatArrivesWhileTheEntryDrainsIsAnsweredBeforeItStops) {
+  this->Begin({"x"});
+  this->router->LimitDeadlines(this->now + Milliseconds(300));
+  this->Request(false);
+  ReportStatus(this->Find<SendAttempt>()->key, wire::ATTEMPT_STARTED,
+               ResultCode::kOk);
+  this->Wait(Milliseconds(299));
+  CHECK(!this->Find<AnswerWithCode>());
+  this->Wait(Milliseconds(1));
+  CHECK(this->Find<AnswerWithCode>()->code == ResultCode::kOutcomeUnknown);
+}
+
 TEST(Router, ARefusedRequestIsRetriedOnAnotherEndpoint) {
   this->Begin({"x", "y"});
   this->Request(false);
--- a/src/savoryringd/entry_duty.cc
+++ b/src/savoryringd/entry_duty.cc
@@ -71,9 +71,17 @@
 
 void EntryDuty::Leave() {
   this->leaving = true;
+  this->server->Leave();
+  this->loop.Post([this] {
+    const TimePoint latest = this->process->drain().AnswerDeadline(kNever);
+    this->control_caller.LimitDeadlines(latest);
+    this->router.LimitDeadlines(latest - kSettleTimeout);
+  });
 }
 
 bool EntryDuty::IsIdle() {
+  if (!this->server->IsIdle())
+    return false;
   const auto idle =
       this->loop.Call<bool>([this] { return this->open_requests.empty(); },
                             BootClock::now() + Milliseconds(200));
@@ -91,15 +99,18 @@
   const bool is_ready = this->ready && !this->leaving;
   if (auto common = AnswerCommonPath(request, *this->process, is_ready))
     return *common;
-  if (request.path.starts_with(kServicesPrefix))
-    return this->CallService(request);
-  const bool known =
-      request.path.starts_with("/tasks") || request.path.starts_with("/jobs") ||
-      request.path.starts_with("/estate") ||
-      request.path.starts_with("/workers") || request.path == "/status";
+  const bool is_service_call = request.path.starts_with(kServicesPrefix);
+  const bool known = is_service_call || request.path.starts_with("/tasks") ||
+                     request.path.starts_with("/jobs") ||
+                     request.path.starts_with("/estate") ||
+                     request.path.starts_with("/workers") ||
+                     request.path == "/status";
   if (!known)
     return MakeResultResponse(ResultCode::kNotFound, request.path);
-  return this->CallControl(request);
+  if (!this->process->drain().AcceptsCall(BootClock::now()))
+    return MakeResultResponse(ResultCode::kNotReady, "");
+  return is_service_call ? this->CallService(request)
+                         : this->CallControl(request);
 }
 
 HttpResponse EntryDuty::CallService(const HttpRequest& request) {
