A voter that lost its disk learns who leads from messages to its predecessor

Cause: a replica ignores messages for an earlier incarnation of its disk, also those of the leader, and asks its seeds alone. Evidence: Replica.AVoterThatLostItsDiskFindsTheLeaderWithoutSeeds failed before (no leader known). Ruled out: following such a message; it only names whom to ask. Change: the sender of entries for an earlier incarnation is asked with the next hello. Conclusion: a wiped voter needs no seed any more.

--- a/src/libreplication/replica.cc
+++ b/src/libreplication/replica.cc
@@ -61,8 +61,12 @@
   const bool for_other_incarnation =
       message.to_incarnation() != 0 &&
       message.to_incarnation() != this->options.self.incarnation;
-  if (for_other_incarnation)
+  if (for_other_incarnation) {
+    // The leader does not know yet that the disk of this replica was lost.
+    if (this->options.open_membership && message.has_append_request())
+      this->leader_hint = message.from().id();
     return;
+  }
   switch (message.body_case()) {
     case wire::ReplicaMessage::kHello:
       return this->ReceiveHello(message, now);
--- a/src/libreplication/replica_test.cc
+++ b/src/libreplication/replica_test.cc
@@ -313,8 +313,8 @@
   LONGS_EQUAL(30, this->committed[lagging].size());
 }
 
-TEST(Replica, SeedsThatLostTheirDisksLearnWhoLeads) {
-  this->open_membership = true;
+// A group of the voters d, e and f, whose configured ids name others.
+StoredReplica StoredVoter() {
   StoredReplica stored;
   stored.hard_state.set_term(1);
   wire::LogEntry& entry = stored.entries.emplace_back();
@@ -323,10 +323,14 @@
   *entry.mutable_membership() = ToMembership({{.id = "d", .incarnation = 4},
                                               {.id = "e", .incarnation = 5},
                                               {.id = "f", .incarnation = 6}});
-  this->AddReplica("d", 4, stored);
-  this->AddReplica("e", 5, stored);
-  this->AddReplica("f", 6, stored);
-  // The configured ids are those of replicas with empty disks.
+  return stored;
+}
+
+TEST(Replica, SeedsThatLostTheirDisksLearnWhoLeads) {
+  this->open_membership = true;
+  this->AddReplica("d", 4, StoredVoter());
+  this->AddReplica("e", 5, StoredVoter());
+  this->AddReplica("f", 6, StoredVoter());
   this->AddAllReplicas();
   this->RunFor(Milliseconds(3000));
   const std::string leader = this->Leader();
@@ -335,4 +339,15 @@
     STRCMP_EQUAL(leader.c_str(), this->replicas.at(id)->leader_id().c_str());
 }
 
+TEST(Replica, AVoterThatLostItsDiskFindsTheLeaderWithoutSeeds) {
+  this->open_membership = true;
+  this->AddReplica("d", 4, StoredVoter());
+  this->AddReplica("e", 5, StoredVoter());
+  this->AddReplica("f", 7);
+  this->RunFor(Milliseconds(3000));
+  const std::string leader = this->Leader();
+  CHECK(!leader.empty());
+  STRCMP_EQUAL(leader.c_str(), this->replicas.at("f")->leader_id().c_str());
+}
+
 }  // namespace savoryring
