VMs without a disk learn who leads from the leader's announcement

Evidence: ControlClient.ALeaderThatNoSeedKnowsIsFoundByItsAnnouncement; the method is new. Ruled out: believing an announcement while a leader answers; it may be of an earlier term. Change: gateways take the hello of a leader as a hint where none is known.

--- a/src/libtransport/control_client.cc
+++ b/src/libtransport/control_client.cc
@@ -170,6 +170,12 @@
   return std::exchange(this->effects, {});
 }
 
+// Believed only while no leader is known: it may be that of an earlier term.
+void ControlClient::OnLeaderAnnounced(const std::string& link, TimePoint now) {
+  if (!this->leader_known)
+    this->OnLeaderFound(link, now);
+}
+
 void ControlClient::AddLinks(const std::vector<std::string>& links) {
   const std::string before = this->leader_link();
   this->finder.Add(links);
--- a/src/libtransport/control_client.h
+++ b/src/libtransport/control_client.h
@@ -65,6 +65,8 @@
   std::vector<ControlClientEffect> TakeEffects();
   /// Link of the presumed leader.
   const std::string& leader_link() const { return this->finder.current(); }
+  /// The replica at `link` says that it leads.
+  void OnLeaderAnnounced(const std::string& link, TimePoint now);
   /// Adds the replicas of changed settings.
   void AddLinks(const std::vector<std::string>& links);
 
--- a/src/libtransport/control_client_test.cc
+++ b/src/libtransport/control_client_test.cc
@@ -171,4 +171,16 @@
   STRCMP_EQUAL("b", this->client.leader_link().c_str());
 }
 
+TEST(ControlClient, ALeaderThatNoSeedKnowsIsFoundByItsAnnouncement) {
+  this->Call(1);
+  STRCMP_EQUAL("a:1", this->Sent().c_str());
+  this->RejectNotLeader("a", 1);
+  this->client.OnLeaderAnnounced("d", this->now);
+  STRCMP_EQUAL("d:1", this->Sent().c_str());
+  this->Answer("d", 1);
+  this->client.OnLeaderAnnounced("e", this->now);
+  this->Call(2);
+  STRCMP_EQUAL("d:2", this->Sent().c_str());
+}
+
 }  // namespace savoryring
--- a/src/savoryringd/control_caller.h
+++ b/src/savoryringd/control_caller.h
@@ -33,6 +33,9 @@
             TimePoint now,
             ReplyCallback callback);
   void OnReply(const Received& message, TimePoint now);
+  void OnLeaderAnnounced(const std::string& link, TimePoint now) {
+    this->client.OnLeaderAnnounced(link, now);
+  }
   void AddLinks(const std::vector<std::string>& links) {
     this->client.AddLinks(links);
   }
--- a/src/savoryringd/gateway_duty.cc
+++ b/src/savoryringd/gateway_duty.cc
@@ -1,6 +1,7 @@
 #include "savoryringd/gateway_duty.h"
 
 #include "libbase/events.h"
+#include "libreplication/replication.pb.h"
 
 namespace savoryring {
 namespace {
@@ -110,11 +111,22 @@
       return this->RedirectReport(message);
     case wire::CONTROL_CALL:
       return this->RedirectCall(message);
+    case wire::REPLICA_MESSAGE:
+      return this->OnReplicaMessage(message, now);
     default:
       return;
   }
 }
 
+// Leaders announce themselves to the seeds, which may be VMs without a disk.
+void GatewayDuty::OnReplicaMessage(const Received& message, TimePoint now) {
+  wire::ReplicaMessage body;
+  if (!body.ParseFromString(message.envelope.body()))
+    return;
+  if (!body.hello().leader().empty())
+    this->control_caller.OnLeaderAnnounced(body.hello().leader(), now);
+}
+
 std::string GatewayDuty::LeaderHint() const {
   return this->IsReady() ? this->control_caller.leader_link() : "";
 }
--- a/src/savoryringd/gateway_duty.h
+++ b/src/savoryringd/gateway_duty.h
@@ -44,6 +44,7 @@
   ResultCode AdmitCall() const;
   bool HasLeaderAnswered(Milliseconds within) const;
   void OnMessage(const Received& message, TimePoint now) override;
+  void OnReplicaMessage(const Received& message, TimePoint now);
   void OnTick(TimePoint now) override;
   void OnBatchEnd(TimePoint now) override;
   void Ping(TimePoint now);
