Failed runs are judged by job, and avoid the workers its job failed on

What callers saw: a lasting task goes back and forth between two faulty workers for as long as the leader's term lasts, though a third worker is sound; a first wave of hopeless jobs with several tasks each suspends every worker. Cause: a job was a suspect once one task had failed on two workers, until that task was done, which a lasting task never is. So the two workers were never suspended, and a placement avoids only the last worker. Tasks of one job that failed on different workers did not make it a suspect. Ruled out: suspects by task with a time limit; it only makes the loop slower. Change: a job is a suspect while its runs have failed on two workers or more and none has succeeded (done, or lasting and available). A task that is placed again prefers a worker on which its job has not failed, then any but the last one. Two bad workers and jobs that use up their attempts on both are still open here.

--- a/src/libjobs/failure_attribution.cc
+++ b/src/libjobs/failure_attribution.cc
@@ -5,30 +5,25 @@
 namespace savoryring {
 
 void FailureAttribution::OnFailed(const std::string& agent,
-                                  const std::string& job,
-                                  const TaskKey& task) {
+                                  const std::string& job) {
   this->failures[agent].insert(job);
-  this->failed_on[job][task].insert(agent);
+  this->jobs[job].failed_on.insert(agent);
 }
 
-void FailureAttribution::OnDone(const std::string& agent,
-                                const std::string& job,
-                                const TaskKey& task) {
+void FailureAttribution::OnSucceeded(const std::string& agent,
+                                     const std::string& job) {
   this->Forgive(agent);
-  const auto found = this->failed_on.find(job);
-  if (found == this->failed_on.end())
-    return;
-  found->second.erase(task);
-  if (found->second.empty())
-    this->failed_on.erase(found);
+  JobEvidence& evidence = this->jobs[job];
+  evidence.succeeded = true;
+  evidence.failed_on.erase(agent);
 }
 
 void FailureAttribution::OnJobEnded(const std::string& job) {
   if (this->IsSuspect(job)) {
-    for (auto& [agent, jobs] : this->failures)
-      jobs.erase(job);
+    for (auto& [agent, failed_jobs] : this->failures)
+      failed_jobs.erase(job);
   }
-  this->failed_on.erase(job);
+  this->jobs.erase(job);
 }
 
 std::size_t FailureAttribution::CountFailedJobs(
@@ -41,12 +36,16 @@
       [this](const std::string& job) { return !this->IsSuspect(job); }));
 }
 
+bool FailureAttribution::HasFailedOn(const std::string& job,
+                                     const std::string& agent) const {
+  const auto found = this->jobs.find(job);
+  return found != this->jobs.end() && found->second.failed_on.contains(agent);
+}
+
 bool FailureAttribution::IsSuspect(const std::string& job) const {
-  const auto found = this->failed_on.find(job);
-  return found != this->failed_on.end() &&
-         std::ranges::any_of(found->second, [](const auto& item) {
-           return item.second.size() > 1;
-         });
+  const auto found = this->jobs.find(job);
+  return found != this->jobs.end() && !found->second.succeeded &&
+         found->second.failed_on.size() > 1;
 }
 
 }  // namespace savoryring
--- a/src/libjobs/failure_attribution.h
+++ b/src/libjobs/failure_attribution.h
@@ -10,36 +10,36 @@
 #include <set>
 #include <string>
 
-#include "libjobs/job_table.h"
-
 namespace savoryring {
 
 class FailureAttribution {
  public:
-  /// A run of the job's task failed on the agent's worker. Failures of a task
-  /// on several workers make its job a suspect until the task is done.
-  void OnFailed(const std::string& agent,
-                const std::string& job,
-                const TaskKey& task);
-  /// A run of the task was completed on the agent's worker: neither is at
-  /// fault.
-  void OnDone(const std::string& agent,
-              const std::string& job,
-              const TaskKey& task);
-  /// The worker has shown to be sound, or another took its place.
+  /// A run of the job failed on the agent's worker. A job with failed runs on
+  /// several workers and without a successful one is a suspect.
+  void OnFailed(const std::string& agent, const std::string& job);
+  /// A run of the job was completed on the agent's worker, or has become
+  /// available there: neither is at fault.
+  void OnSucceeded(const std::string& agent, const std::string& job);
+  /// Another worker took the place of the agent's worker.
   void Forgive(const std::string& agent) { this->failures.erase(agent); }
   /// The job has ended. The failures of a suspect are forgotten.
   void OnJobEnded(const std::string& job);
 
-  /// Number of jobs whose failures count against the worker since it last
-  /// completed a run.
+  /// Number of jobs whose failures count against the worker since a run last
+  /// succeeded there.
   std::size_t CountFailedJobs(const std::string& agent) const;
+  /// Whether a run of the job failed on the agent's worker and none has
+  /// succeeded there since.
+  bool HasFailedOn(const std::string& job, const std::string& agent) const;
 
  private:
+  struct JobEvidence {
+    bool succeeded = false;  // at least one run, on any worker
+    std::set<std::string> failed_on;
+  };
   // By agent: jobs with failed runs there.
   std::map<std::string, std::set<std::string>> failures;
-  // By job: the workers on which each task failed, until it is done.
-  std::map<std::string, std::map<TaskKey, std::set<std::string>>> failed_on;
+  std::map<std::string, JobEvidence> jobs;
 
   bool IsSuspect(const std::string& job) const;
 };
--- a/src/libjobs/job_placement.cc
+++ b/src/libjobs/job_placement.cc
@@ -357,6 +357,7 @@
                              std::map<std::string, FreeCapacity>& capacities,
                              wire::JobCommand& command) {
   const StepState& state = table.State(key);
+  const std::string& job = table.FindSequence(key.sequence)->spec.id();
   Candidates candidates = this->FindCandidates(table, key, capacities, false);
   const bool forced = candidates.empty() && this->force_placement;
   if (forced)
@@ -367,7 +368,7 @@
       continue;
     if (candidates.empty() || command.starts_size() >= kMaxStartsPerDecision)
       return;
-    const auto best = BestCandidate(candidates, task);
+    const auto best = this->BestCandidate(candidates, job, task);
     const Candidate chosen = *best;
     candidates.erase(best);
     this->AssignTask(table, {.step = key, .index = index}, *chosen.capacity,
@@ -382,18 +383,27 @@
   }
 }
 
-// The worker on which a task last failed or was slow is chosen only if there is
-// no other.
+// A worker on which the task's job has failed is chosen only if there is no
+// other; of these, the one on which the task last failed or was slow comes
+// last.
 JobScheduler::Candidates::iterator JobScheduler::BestCandidate(
     Candidates& candidates,
-    const JobTask& task) {
+    const std::string& job,
+    const JobTask& task) const {
   if (task.run == 0)
     return candidates.begin();
-  const auto other_worker =
-      std::ranges::find_if(candidates, [&task](const Candidate& candidate) {
-        return candidate.agent != task.agent;
+  const auto is_other = [&task](const Candidate& candidate) {
+    return candidate.agent != task.agent;
+  };
+  const auto untried =
+      std::ranges::find_if(candidates, [&](const Candidate& candidate) {
+        return is_other(candidate) && !this->failure_attribution.HasFailedOn(
+                                          job, std::string(candidate.agent));
       });
-  return other_worker == candidates.end() ? candidates.begin() : other_worker;
+  if (untried != candidates.end())
+    return untried;
+  const auto other = std::ranges::find_if(candidates, is_other);
+  return other == candidates.end() ? candidates.begin() : other;
 }
 
 void JobScheduler::AssignTask(const JobTable& table,
--- a/src/libjobs/job_scheduler.cc
+++ b/src/libjobs/job_scheduler.cc
@@ -219,7 +219,8 @@
                                   run.percent < kFullPercent;
     // A worker without batch tasks never completes a run.
     if (became_available)
-      this->failure_attribution.Forgive(report.worker().agent());
+      this->failure_attribution.OnSucceeded(report.worker().agent(),
+                                            status.task().job());
     run.percent = status.percent();
     run.measured = status.measured();
     run.speed = SmoothedSpeed(run.speed, status, table.Step(key.step));
@@ -406,7 +407,7 @@
     this->started_jobs.insert(event.key.step.sequence);
   AgentState& agent_state = this->agents[event.agent];
   if (event.run_end == wire::RUN_END_DONE)
-    this->failure_attribution.OnDone(event.agent, event.job, event.key);
+    this->failure_attribution.OnSucceeded(event.agent, event.job);
   if (event.run_end != wire::RUN_END_FAILED &&
       event.run_end != wire::RUN_END_REJECTED)
     return;
@@ -416,7 +417,7 @@
   if (event.lasting && run != agent_state.runs.end() &&
       run->second.percent == kFullPercent)
     return;
-  this->failure_attribution.OnFailed(event.agent, event.job, event.key);
+  this->failure_attribution.OnFailed(event.agent, event.job);
   if (!this->IsOnProbation(event.agent))
     return;
   agent_state.suspended_until = now + this->options.suspension_time;
--- a/src/libjobs/job_scheduler.h
+++ b/src/libjobs/job_scheduler.h
@@ -272,8 +272,9 @@
                             const StepKey& key,
                             std::map<std::string, FreeCapacity>& capacities,
                             bool forced) const;
-  static Candidates::iterator BestCandidate(Candidates& candidates,
-                                            const JobTask& task);
+  Candidates::iterator BestCandidate(Candidates& candidates,
+                                     const std::string& job,
+                                     const JobTask& task) const;
   void AssignTask(const JobTable& table,
                   const TaskKey& key,
                   FreeCapacity& capacity,
--- a/src/libjobs/job_scheduler_test.cc
+++ b/src/libjobs/job_scheduler_test.cc
@@ -617,4 +617,48 @@
   LONGS_EQUAL(1, first->occurrences_size());
 }
 
+TEST(JobScheduler, AFirstWaveOfHopelessJobsLeavesRoomForALastingTask) {
+  for (const char* agent : {"a", "b", "c", "d"})
+    this->Deliver(this->Report(agent));
+  for (const char* job : {"bad-1", "bad-2", "bad-3", "bad-4"})
+    this->Submit(job, 4, 1000, 0,
+                 [](wire::JobStep* step) { step->set_spread_limit(1); });
+  this->Decide();
+  for (const char* agent : {"a", "b", "c", "d"}) {
+    const std::set<TaskKey> runs = this->table.FindWorker(agent)->runs;
+    LONGS_EQUAL(4, runs.size());
+    for (const TaskKey& key : runs)
+      this->ApplyFailure(agent, key);
+  }
+  this->Submit("watch", 1, 1000, 0,
+               [](wire::JobStep* step) { step->set_lasting(true); });
+  for (int i = 0; i < 20; ++i) {
+    this->Decide();
+    this->now += Milliseconds(200);
+    for (const char* agent : {"a", "b", "c", "d"})
+      this->Deliver(this->Report(agent));
+  }
+  LONGS_EQUAL(1, this->CountRunning("watch"));
+}
+
+TEST(JobScheduler, LastingTasksLeaveTwoFaultyWorkersForASoundOne) {
+  for (const char* agent : {"a", "b", "c"})
+    this->Deliver(this->Report(agent));
+  for (int i = 1; i <= 4; ++i)
+    this->Submit("w-" + std::to_string(i), 1, 100, 0,
+                 [](wire::JobStep* step) { step->set_lasting(true); });
+  for (int round = 0; round < 50; ++round) {
+    this->Decide();
+    for (const char* agent : {"a", "b"}) {
+      const std::set<TaskKey> runs = this->table.FindWorker(agent)->runs;
+      for (const TaskKey& key : runs)
+        this->ApplyFailure(agent, key);
+    }
+    this->now += Milliseconds(100);
+    for (const char* agent : {"a", "b", "c"})
+      this->Deliver(this->Report(agent));
+  }
+  LONGS_EQUAL(4, this->table.FindWorker("c")->runs.size());
+}
+
 }  // namespace savoryring
