At most half of the workers of a service are suspended at a time

What callers saw: a lasting task finds no worker although all of them are sound. Cause: jobs that fail once each, on one worker each, are no suspects yet; a wave of them suspends every worker of the service. Ruled out: releasing all workers when more than half fail; the faulty ones among them would be used again whenever a wave comes. Workers that the leader has not heard of for a lease do not count as part of the service. FailureAttribution.AtMostHalfOfTheWorkersAreAtFault tests the rule by itself. Conclusion: half of the room is left in such a wave.

--- a/src/libjobs/failure_attribution.cc
+++ b/src/libjobs/failure_attribution.cc
@@ -36,6 +36,20 @@
       [this](const std::string& job) { return !this->IsSuspect(job); }));
 }
 
+bool FailureAttribution::IsAtFault(const std::string& agent,
+                                   const std::set<std::string>& agents,
+                                   std::size_t threshold) const {
+  const std::size_t failed_jobs = this->CountFailedJobs(agent);
+  if (failed_jobs < threshold)
+    return false;
+  const auto worse = static_cast<std::size_t>(
+      std::ranges::count_if(agents, [&](const std::string& other) {
+        const std::size_t count = this->CountFailedJobs(other);
+        return count > failed_jobs || (count == failed_jobs && other < agent);
+      }));
+  return worse < std::max<std::size_t>(1, agents.size() / 2);
+}
+
 bool FailureAttribution::HasFailedOn(const std::string& job,
                                      const std::string& agent) const {
   const auto found = this->jobs.find(job);
--- a/src/libjobs/failure_attribution.h
+++ b/src/libjobs/failure_attribution.h
@@ -28,6 +28,12 @@
   /// Number of jobs whose failures count against the worker since a run last
   /// succeeded there.
   std::size_t CountFailedJobs(const std::string& agent) const;
+  /// Whether at least `threshold` failed jobs count against the worker and it
+  /// is in the half of its service's workers, `agents`, where most jobs failed.
+  /// If more workers than that fail, the jobs are at fault.
+  bool IsAtFault(const std::string& agent,
+                 const std::set<std::string>& agents,
+                 std::size_t threshold) const;
   /// Whether a run of the job failed on the agent's worker and none has
   /// succeeded there since.
   bool HasFailedOn(const std::string& job, const std::string& agent) const;
--- a/src/libjobs/failure_attribution_test.cc
+++ b/src/libjobs/failure_attribution_test.cc
@@ -70,4 +70,19 @@
   CHECK(!this->attribution.HasFailedOn("j", "a"));
 }
 
+TEST(FailureAttribution, AtMostHalfOfTheWorkersAreAtFault) {
+  const std::set<std::string> agents = {"a", "b", "c", "d", "e"};
+  for (const std::string& agent : agents) {
+    for (const char* job : {"-1", "-2", "-3"})
+      this->attribution.OnFailed(agent, agent + job);
+  }
+  this->attribution.OnFailed("d", "d-4");
+  std::string at_fault;
+  for (const std::string& agent : agents)
+    at_fault += this->attribution.IsAtFault(agent, agents, 3) ? agent : "";
+  STRCMP_EQUAL("ad", at_fault.c_str());
+  CHECK(this->attribution.IsAtFault("e", {"e"}, 3));
+  CHECK(!this->attribution.IsAtFault("e", {"e"}, 4));
+}
+
 }  // namespace savoryring
--- a/src/libjobs/job_placement.cc
+++ b/src/libjobs/job_placement.cc
@@ -223,7 +223,7 @@
     return Unavailability::kUnreachable;
   // The failures may turn out to be the fault of the jobs.
   const bool suspended = now < agent_state.suspended_until &&
-                         this->IsOnProbation(worker.description.agent());
+                         this->IsOnProbation(worker.description.agent(), now);
   return suspended ? Unavailability::kSuspended : Unavailability::kNone;
 }
 
@@ -246,7 +246,7 @@
                             static_cast<std::int64_t>(worker.used_accelerators);
     capacity.requested_best_effort_cpu_milli =
         static_cast<std::int64_t>(worker.best_effort_cpu_milli);
-    capacity.on_probation = this->IsOnProbation(agent);
+    capacity.on_probation = this->IsOnProbation(agent, now);
     capacity.has_probe = capacity.on_probation && now < agent_state.next_probe;
     for (const TaskKey& key : worker.runs) {
       const wire::JobStep& step = table.Step(key.step);
--- a/src/libjobs/job_scheduler.cc
+++ b/src/libjobs/job_scheduler.cc
@@ -110,6 +110,7 @@
   agent_state.last_report = now;
   agent_state.last_report_sent_ns = report.sent_ns();
   agent_state.lease_granted = false;
+  agent_state.service = worker.service();
   if (worker.instance().empty())
     return std::nullopt;
   const JobWorker* known = table.FindWorker(worker.agent());
@@ -400,6 +401,26 @@
     this->OnRunEnded(event, now);
 }
 
+bool JobScheduler::IsOnProbation(const std::string& agent,
+                                 TimePoint now) const {
+  const std::size_t threshold = this->options.failed_jobs_to_suspend;
+  // Spares the usual case the pass over all agents.
+  if (this->failure_attribution.CountFailedJobs(agent) < threshold)
+    return false;
+  const auto found = this->agents.find(agent);
+  if (found == this->agents.end())
+    return false;
+  std::set<std::string> colleagues = {agent};
+  for (const auto& [other, state] : this->agents) {
+    const bool present = state.last_report != TimePoint() &&
+                         now < state.last_report + this->options.lease &&
+                         !state.worker_gone;
+    if (present && state.service == found->second.service)
+      colleagues.insert(other);
+  }
+  return this->failure_attribution.IsAtFault(agent, colleagues, threshold);
+}
+
 void JobScheduler::OnRunEnded(const JobEvent& event, TimePoint now) {
   const bool ran = event.run_end != wire::RUN_END_LAPSED &&
                    event.run_end != wire::RUN_END_REJECTED;
@@ -418,7 +439,7 @@
       run->second.percent == kFullPercent)
     return;
   this->failure_attribution.OnFailed(event.agent, event.job);
-  if (!this->IsOnProbation(event.agent))
+  if (!this->IsOnProbation(event.agent, now))
     return;
   agent_state.suspended_until = now + this->options.suspension_time;
   this->suspended_agents.push_back(event.agent);
--- a/src/libjobs/job_scheduler.h
+++ b/src/libjobs/job_scheduler.h
@@ -150,8 +150,9 @@
     std::uint64_t incarnation = 0;                 // of the agent's process
     std::set<std::uint64_t> earlier_incarnations;  // of the agent's process
     bool lease_granted = false;  // in answer to the last report
-    bool worker_gone = false;    // the agent reports that the worker is dead
-    std::int64_t born_ms = 0;    // worker incarnation
+    std::string service;
+    bool worker_gone = false;  // the agent reports that the worker is dead
+    std::int64_t born_ms = 0;  // worker incarnation
     std::uint64_t proposed_end = 0;  // ends up to this number were proposed
     std::string proposed_description;
     TimePoint propose_deadline;  // after it, the description is proposed again
@@ -171,10 +172,9 @@
     return agent_state.loss_in_log_born_ms != 0 &&
            agent_state.loss_in_log_born_ms == agent_state.born_ms;
   }
-  bool IsOnProbation(const std::string& agent) const {
-    return this->failure_attribution.CountFailedJobs(agent) >=
-           this->options.failed_jobs_to_suspend;
-  }
+  /// Whether the worker is at fault: suspended, or on probation until a run
+  /// succeeds on it.
+  bool IsOnProbation(const std::string& agent, TimePoint now) const;
   /// Why a worker accepts no new tasks at all.
   enum class Unavailability {
     kNone,
--- a/src/libjobs/job_scheduler_test.cc
+++ b/src/libjobs/job_scheduler_test.cc
@@ -661,4 +661,25 @@
   LONGS_EQUAL(4, this->table.FindWorker("c")->runs.size());
 }
 
+// Each job fails once, so that none of them is a suspect.
+TEST(JobScheduler, AtMostHalfOfTheWorkersOfAServiceAreSuspended) {
+  for (const char* agent : {"a", "b", "c", "d"})
+    this->Deliver(this->Report(agent));
+  for (int i = 0; i < 16; ++i)
+    this->Submit("bad-" + std::to_string(i), 1, 1000, 0);
+  this->Decide();
+  for (const char* agent : {"a", "b", "c", "d"}) {
+    const std::set<TaskKey> runs = this->table.FindWorker(agent)->runs;
+    LONGS_EQUAL(4, runs.size());
+    for (const TaskKey& key : runs)
+      this->ApplyFailure(agent, key);
+  }
+  this->Submit("watch", 16, 1000, 0,
+               [](wire::JobStep* step) { step->set_lasting(true); });
+  this->Decide();
+  LONGS_EQUAL(8, this->CountRunning("watch"));
+  const std::vector<std::string> agents = this->scheduler.TakeSuspendedAgents();
+  LONGS_EQUAL(2, std::set<std::string>(agents.begin(), agents.end()).size());
+}
+
 }  // namespace savoryring
