A suspect's failure does not prolong a suspension

What callers saw: a suspended worker gets no task long after its suspension should have ended. Cause: each failed run on a worker at fault set its suspension anew, also the runs of suspects, which count against no worker. Evidence: AHopelessJobDoesNotProlongASuspension failed on (1 suspension reported after the suspect's failure, 0 expected). Ruled out: never prolonging a suspension; failures that count still do so (AWorkerWhereSeveralJobsFailIsSuspended holds). Change: OnRunEnded suspends no worker for the run of a suspect.

--- a/src/libjobs/failure_attribution.h
+++ b/src/libjobs/failure_attribution.h
@@ -25,6 +25,8 @@
   /// The job has ended. The failures of a suspect are forgotten.
   void OnJobEnded(const std::string& job);
 
+  /// Whether the failures of the job count against no worker.
+  bool IsSuspect(const std::string& job) const;
   /// Number of jobs whose failures count against the worker since a run last
   /// succeeded there.
   std::size_t CountFailedJobs(const std::string& agent) const;
@@ -46,8 +48,6 @@
   // By agent: jobs with failed runs there.
   std::map<std::string, std::set<std::string>> failures;
   std::map<std::string, JobEvidence> jobs;
-
-  bool IsSuspect(const std::string& job) const;
 };
 
 }  // namespace savoryring
--- a/src/libjobs/job_scheduler.cc
+++ b/src/libjobs/job_scheduler.cc
@@ -439,7 +439,8 @@
       run->second.percent == kFullPercent)
     return;
   this->failure_attribution.OnFailed(event.agent, event.job);
-  if (!this->IsOnProbation(event.agent, now))
+  if (this->failure_attribution.IsSuspect(event.job) ||
+      !this->IsOnProbation(event.agent, now))
     return;
   agent_state.suspended_until = now + this->options.suspension_time;
   this->suspended_agents.push_back(event.agent);
--- a/src/libjobs/job_scheduler_test.cc
+++ b/src/libjobs/job_scheduler_test.cc
@@ -682,4 +682,34 @@
   LONGS_EQUAL(2, std::set<std::string>(agents.begin(), agents.end()).size());
 }
 
+TEST(JobScheduler, AHopelessJobDoesNotProlongASuspension) {
+  this->Deliver(this->Report("a"));
+  this->Deliver(this->Report("b"));
+  this->Submit("bad", 1, 1000, 0,
+               [](wire::JobStep* step) { step->set_lasting(true); });
+  const TaskKey bad{.step = {.sequence = 1}};
+  for (int i = 0; i < 2; ++i) {
+    this->Decide();
+    this->ApplyFailure(this->table.Task(bad).agent, bad);
+    this->now += Milliseconds(500);
+  }
+  this->Decide();
+  const std::string agent = this->table.Task(bad).agent;
+  LONGS_EQUAL(1, this->table.FindWorker(agent)->runs.size());
+  for (const char* job : {"j-1", "j-2", "j-3"}) {
+    this->Submit(job, 1, 2500, 1);
+    this->Decide();
+    const std::set<TaskKey> runs = this->table.FindWorker(agent)->runs;
+    LONGS_EQUAL(2, runs.size());
+    this->ApplyFailure(agent, *runs.rbegin());
+    wire::JobCommand command;
+    command.set_cancel(job);
+    this->Apply(command);
+  }
+  LONGS_EQUAL(1, this->scheduler.TakeSuspendedAgents().size());
+  this->now += Milliseconds(7900);
+  this->ApplyFailure(agent, bad);
+  LONGS_EQUAL(0, this->scheduler.TakeSuspendedAgents().size());
+}
+
 }  // namespace savoryring
