Starts that a draining worker rejects do not count against it

What callers saw: a worker that is no longer draining gets no task for 8 s. Cause: since runs that were ordered of a draining worker come back as rejected, and each rejection counted as a failed run of the worker. Evidence: StartsThatADrainingWorkerRejectsDoNotCountAgainstIt failed before (1 suspension, 0 expected). Ruled out: ignoring all rejections; a worker that rejects all starts for other reasons has to be found. Change: a rejection from a worker whose last report says that it is draining does not reach FailureAttribution. Conclusion: mended.

--- a/src/libjobs/job_scheduler.cc
+++ b/src/libjobs/job_scheduler.cc
@@ -111,6 +111,7 @@
   agent_state.last_report_sent_ns = report.sent_ns();
   agent_state.lease_granted = false;
   agent_state.service = worker.service();
+  agent_state.draining = worker.draining();
   if (worker.instance().empty())
     return std::nullopt;
   const JobWorker* known = table.FindWorker(worker.agent());
@@ -432,6 +433,8 @@
   if (event.run_end != wire::RUN_END_FAILED &&
       event.run_end != wire::RUN_END_REJECTED)
     return;
+  if (event.run_end == wire::RUN_END_REJECTED && agent_state.draining)
+    return;
   // A lasting task that was fully started may fail at any time, which says
   // nothing about the worker.
   const auto run = agent_state.runs.find(event.key);
--- a/src/libjobs/job_scheduler.h
+++ b/src/libjobs/job_scheduler.h
@@ -151,6 +151,7 @@
     std::set<std::uint64_t> earlier_incarnations;  // of the agent's process
     bool lease_granted = false;  // in answer to the last report
     std::string service;
+    bool draining = false;
     bool worker_gone = false;  // the agent reports that the worker is dead
     std::int64_t born_ms = 0;  // worker incarnation
     std::uint64_t proposed_end = 0;  // ends up to this number were proposed
--- a/src/libjobs/job_scheduler_test.cc
+++ b/src/libjobs/job_scheduler_test.cc
@@ -712,4 +712,25 @@
   LONGS_EQUAL(0, this->scheduler.TakeSuspendedAgents().size());
 }
 
+TEST(JobScheduler, StartsThatADrainingWorkerRejectsDoNotCountAgainstIt) {
+  this->Deliver(this->Report("a"));
+  wire::AgentReport draining = this->Report("a");
+  draining.mutable_worker()->set_draining(true);
+  for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
+    this->Submit("j-" + std::to_string(sequence), 1, 1000, 0);
+    wire::TaskEnd* end = draining.add_rejected();
+    *end->mutable_task() = this->table.NameOf({.step = {.sequence = sequence}});
+    end->set_run(1);
+    end->set_how(wire::RUN_END_REJECTED);
+  }
+  this->Decide();
+  LONGS_EQUAL(3, this->table.FindWorker("a")->runs.size());
+  this->Deliver(draining);
+  LONGS_EQUAL(0, this->table.FindWorker("a")->runs.size());
+  LONGS_EQUAL(0, this->scheduler.TakeSuspendedAgents().size());
+  this->Deliver(this->Report("a"));
+  this->Decide();
+  LONGS_EQUAL(3, this->table.FindWorker("a")->runs.size());
+}
+
 }  // namespace savoryring
