A lasting task that ends before it is available is tried again later and later

What callers saw: no work of a queue runs while a lasting job of it can't run. Cause: a lasting task that fails is placed again at the next decision and, since, before the work that newer jobs bring, so that it takes the room each time. Evidence: AHopelessLastingJobDoesNotStarveTheWorkOfItsQueue failed before (0 of 4 tasks of the other job ran in 100 decisions), as did ALastingTaskThatFailsIsTriedAgainWithinTwoSeconds (placed at once). ALastingTaskThatWasAvailableIsTriedAgainAtOnce fails without the clearing of the delay. Ruled out: placing such tasks after other work; a sound one would wait without bound for room. Change: each lasting task whose run fails or is rejected before it is available is placed again after 100 ms, doubling up to 2 s, which is below the 3 s that a lasting task may wait. The delay is cleared when the task becomes available. Conclusion: mended. A new leader begins again at 100 ms.

--- a/src/libjobs/job_placement.cc
+++ b/src/libjobs/job_placement.cc
@@ -364,7 +364,8 @@
     candidates = this->FindCandidates(table, key, capacities, true);
   for (std::uint32_t index = 0; index < state.tasks.size(); ++index) {
     const JobTask& task = state.tasks[index];
-    if (task.state != JobTaskState::kWaiting)
+    if (task.state != JobTaskState::kWaiting ||
+        this->IsRetryDelayed({.step = key, .index = index}))
       continue;
     if (candidates.empty() || command.starts_size() >= kMaxStartsPerDecision)
       return;
--- a/src/libjobs/job_scheduler.cc
+++ b/src/libjobs/job_scheduler.cc
@@ -12,6 +12,10 @@
 // A run without progress is stuck only after this multiple of its estimate.
 constexpr std::uint32_t kStuckEstimateMultiple = 3;
 constexpr std::uint32_t kFullPercent = 100;
+// A lasting task that ends before it is available would otherwise take the room
+// of other work at every decision. It has to be tried again within 3 s.
+constexpr Milliseconds kMinRetryDelay{100};
+constexpr Milliseconds kMaxRetryDelay{2000};
 
 TimePoint AddWithClockDrift(TimePoint from, Milliseconds span) {
   return from + std::chrono::duration_cast<std::chrono::nanoseconds>(
@@ -220,9 +224,11 @@
                                   status.percent() == kFullPercent &&
                                   run.percent < kFullPercent;
     // A worker without batch tasks never completes a run.
-    if (became_available)
+    if (became_available) {
       this->failure_attribution.OnSucceeded(report.worker().agent(),
                                             status.task().job());
+      this->lasting_retries.erase(key);
+    }
     run.percent = status.percent();
     run.measured = status.measured();
     run.speed = SmoothedSpeed(run.speed, status, table.Step(key.step));
@@ -442,6 +448,8 @@
       run->second.percent == kFullPercent)
     return;
   this->failure_attribution.OnFailed(event.agent, event.job);
+  if (event.lasting)
+    this->DelayRetry(event.key, now);
   if (this->failure_attribution.IsSuspect(event.job) ||
       !this->IsOnProbation(event.agent, now))
     return;
@@ -449,6 +457,20 @@
   this->suspended_agents.push_back(event.agent);
 }
 
+void JobScheduler::DelayRetry(const TaskKey& key, TimePoint now) {
+  const auto [retry, is_first] = this->lasting_retries.try_emplace(key);
+  const Milliseconds delay =
+      is_first ? kMinRetryDelay
+               : std::min(2 * retry->second.delay, kMaxRetryDelay);
+  retry->second = {.next_start = now + delay, .delay = delay};
+}
+
+bool JobScheduler::IsRetryDelayed(const TaskKey& key) const {
+  const auto found = this->lasting_retries.find(key);
+  return found != this->lasting_retries.end() &&
+         this->decision_time < found->second.next_start;
+}
+
 // --- Decisions ---
 
 std::optional<wire::JobCommand> JobScheduler::Decide(
@@ -458,6 +480,10 @@
     TimePoint now) {
   this->group_time_ms = group_time_ms;
   this->decision_time = now;
+  std::erase_if(this->lasting_retries, [&table](const auto& item) {
+    const Job* job = table.FindSequence(item.first.step.sequence);
+    return job == nullptr || !job->IsOpen();
+  });
   wire::JobCommand command;
   this->DeclareLostWorkers(table, now, command);
   this->StartDueOccurrences(table, wall_ms, command);
--- a/src/libjobs/job_scheduler.h
+++ b/src/libjobs/job_scheduler.h
@@ -136,6 +136,11 @@
     TimePoint last_progress;
     std::string checkpoint;
   };
+  // A lasting task whose runs ended before it became available.
+  struct LastingRetry {
+    TimePoint next_start;  // not placed before this
+    Milliseconds delay;    // that led to it
+  };
   // A best-effort run that may get more CPU time on another worker.
   struct SlowRun {
     double speed = 1;
@@ -222,6 +227,8 @@
   using Candidates = std::set<Candidate>;
 
   void OnRunEnded(const JobEvent& event, TimePoint now);
+  void DelayRetry(const TaskKey& key, TimePoint now);
+  bool IsRetryDelayed(const TaskKey& key) const;
   static void AddNewEnds(const JobWorker& known,
                          const wire::AgentReport& report,
                          AgentState& agent_state,
@@ -300,6 +307,7 @@
   std::map<std::string, AgentState> agents;
   ColocationModel colocation_model;
   FailureAttribution failure_attribution;
+  std::map<TaskKey, LastingRetry> lasting_retries;
   std::uint64_t group_time_ms = 0;
   TimePoint decision_time;               // of the decision in progress
   std::set<std::uint64_t> started_jobs;  // with a run confirmed by a worker
--- a/src/libjobs/job_scheduler_test.cc
+++ b/src/libjobs/job_scheduler_test.cc
@@ -733,4 +733,73 @@
   LONGS_EQUAL(3, this->table.FindWorker("a")->runs.size());
 }
 
+TEST(JobScheduler, AHopelessLastingJobDoesNotStarveTheWorkOfItsQueue) {
+  this->Submit("hopeless", 4, 1000, 0,
+               [](wire::JobStep* step) { step->set_lasting(true); });
+  this->group_time = 60'000;
+  this->Submit("fresh", 4, 1000, 0);
+  std::uint32_t most = 0;
+  int failures = 0;
+  for (int round = 0; round < 100; ++round) {
+    this->Deliver(this->Report("a"));
+    this->Decide();
+    most = std::max(most, this->CountRunning("fresh"));
+    const std::set<TaskKey> runs = this->table.FindWorker("a")->runs;
+    for (const TaskKey& key : runs) {
+      if (key.step.sequence == 1) {
+        this->ApplyFailure("a", key);
+        failures += 1;
+      }
+    }
+    this->now += Milliseconds(100);
+  }
+  LONGS_EQUAL(4, most);
+  LONGS_EQUAL(8, failures);
+}
+
+// Waits 100, 200, 400, 800, 1600, 2000, 2000 ms.
+TEST(JobScheduler, ALastingTaskThatFailsIsTriedAgainWithinTwoSeconds) {
+  this->Submit("hopeless", 1, 1000, 0,
+               [](wire::JobStep* step) { step->set_lasting(true); });
+  const TaskKey key{.step = {.sequence = 1}};
+  for (const int wait_ms : {100, 200, 400, 800, 1600, 2000, 2000}) {
+    this->Deliver(this->Report("a"));
+    this->Decide();
+    LONGS_EQUAL(1, this->CountRunning("hopeless"));
+    this->ApplyFailure("a", key);
+    this->now += Milliseconds(wait_ms - 1);
+    this->Deliver(this->Report("a"));
+    this->Decide();
+    LONGS_EQUAL(0, this->CountRunning("hopeless"));
+    this->now += Milliseconds(1);
+  }
+}
+
+TEST(JobScheduler, ALastingTaskThatWasAvailableIsTriedAgainAtOnce) {
+  this->Submit("serve", 1, 1000, 0,
+               [](wire::JobStep* step) { step->set_lasting(true); });
+  const TaskKey key{.step = {.sequence = 1}};
+  this->Deliver(this->Report("a"));
+  for (int i = 0; i < 3; ++i) {
+    this->Decide();
+    this->ApplyFailure("a", key);
+    this->now += Milliseconds(400);
+  }
+  this->Decide();
+  wire::AgentReport report = this->Report("a");
+  wire::RunStatus* status = report.add_runs();
+  *status->mutable_task() = this->table.NameOf(key);
+  status->set_run(this->table.Task(key).run);
+  status->set_percent(100);
+  this->Deliver(report);
+  this->ApplyFailure("a", key);
+  this->Decide();
+  LONGS_EQUAL(1, this->CountRunning("serve"));
+  this->Deliver(this->Report("a"));
+  this->ApplyFailure("a", key);
+  this->now += Milliseconds(100);
+  this->Decide();
+  LONGS_EQUAL(1, this->CountRunning("serve"));
+}
+
 }  // namespace savoryring
