Jobs with few attempts do not use them up on the same two faulty workers

What callers saw: with two faulty workers all jobs of one task and two attempts fail, though a third worker is sound. Cause: a placement by best fit takes the faulty workers first, job after job. A job that failed on both is a suspect, and what was learned from it ends with it. Evidence: JobsWithTwoAttemptsAreDoneBesideTwoFaultyWorkers failed before (0 of 20 jobs done; 19 are after the change). Ruled out: counting the failures of ended suspects against workers. By such failures alone, workers that fail all and workers that got hopeless jobs look alike, and a wave of hopeless jobs would suspend half of a service again (JobsThatCanNeverBeDoneSuspendNoSoundWorker). Change: failed runs since the last success are also counted for each worker, whoever is at fault. They suspend nobody; a task that is placed again prefers, among the workers on which its job has not failed, the one with the fewest. It is done there, which shows that the worker it failed on first is faulty. Conclusion: mended while a sound worker has room for second attempts. Jobs with a single attempt learn nothing from this; they fail on one worker and count against it.

--- a/src/libjobs/failure_attribution.cc
+++ b/src/libjobs/failure_attribution.cc
@@ -7,6 +7,7 @@
 void FailureAttribution::OnFailed(const std::string& agent,
                                   const std::string& job) {
   this->failures[agent].insert(job);
+  this->failed_runs[agent] += 1;
   this->jobs[job].failed_on.insert(agent);
 }
 
@@ -18,6 +19,11 @@
   evidence.failed_on.erase(agent);
 }
 
+void FailureAttribution::Forgive(const std::string& agent) {
+  this->failures.erase(agent);
+  this->failed_runs.erase(agent);
+}
+
 void FailureAttribution::OnJobEnded(const std::string& job) {
   if (this->IsSuspect(job)) {
     for (auto& [agent, failed_jobs] : this->failures)
@@ -36,6 +42,12 @@
       [this](const std::string& job) { return !this->IsSuspect(job); }));
 }
 
+std::size_t FailureAttribution::CountFailedRuns(
+    const std::string& agent) const {
+  const auto found = this->failed_runs.find(agent);
+  return found == this->failed_runs.end() ? 0 : found->second;
+}
+
 bool FailureAttribution::IsAtFault(const std::string& agent,
                                    const std::set<std::string>& agents,
                                    std::size_t threshold) const {
--- a/src/libjobs/failure_attribution.h
+++ b/src/libjobs/failure_attribution.h
@@ -21,7 +21,7 @@
   /// available there: neither is at fault.
   void OnSucceeded(const std::string& agent, const std::string& job);
   /// Another worker took the place of the agent's worker.
-  void Forgive(const std::string& agent) { this->failures.erase(agent); }
+  void Forgive(const std::string& agent);
   /// The job has ended. The failures of a suspect are forgotten.
   void OnJobEnded(const std::string& job);
 
@@ -30,6 +30,10 @@
   /// Number of jobs whose failures count against the worker since a run last
   /// succeeded there.
   std::size_t CountFailedJobs(const std::string& agent) const;
+  /// Number of failed runs on the worker since a run last succeeded there,
+  /// those of suspects included. It accuses nobody, but a run that must not
+  /// fail again is better placed where it is low.
+  std::size_t CountFailedRuns(const std::string& agent) const;
   /// Whether at least `threshold` failed jobs count against the worker and it
   /// is in the half of its service's workers, `agents`, where most jobs failed.
   /// If more workers than that fail, the jobs are at fault.
@@ -48,6 +52,7 @@
   // By agent: jobs with failed runs there.
   std::map<std::string, std::set<std::string>> failures;
   std::map<std::string, JobEvidence> jobs;
+  std::map<std::string, std::size_t> failed_runs;  // by agent
 };
 
 }  // namespace savoryring
--- a/src/libjobs/failure_attribution_test.cc
+++ b/src/libjobs/failure_attribution_test.cc
@@ -85,4 +85,14 @@
   CHECK(!this->attribution.IsAtFault("e", {"e"}, 4));
 }
 
+TEST(FailureAttribution, FailedRunsOfSuspectsAreKeptUntilARunSucceeds) {
+  this->attribution.OnFailed("a", "bad");
+  this->attribution.OnFailed("b", "bad");
+  this->attribution.OnJobEnded("bad");
+  LONGS_EQUAL(1, this->attribution.CountFailedRuns("a"));
+  LONGS_EQUAL(0, this->attribution.CountFailedRuns("c"));
+  this->attribution.OnSucceeded("a", "j");
+  LONGS_EQUAL(0, this->attribution.CountFailedRuns("a"));
+}
+
 }  // namespace savoryring
--- a/src/libjobs/job_placement.cc
+++ b/src/libjobs/job_placement.cc
@@ -1,6 +1,7 @@
 // Placement: assigns ready tasks to workers.
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "libjobs/job_scheduler.h"
@@ -386,25 +387,27 @@
 
 // A worker on which the task's job has failed is chosen only if there is no
 // other; of these, the one on which the task last failed or was slow comes
-// last.
+// last. Among the others, workers with fewer failed runs come first: jobs with
+// few attempts would otherwise use them up on the same faulty workers.
 JobScheduler::Candidates::iterator JobScheduler::BestCandidate(
     Candidates& candidates,
     const std::string& job,
     const JobTask& task) const {
   if (task.run == 0)
     return candidates.begin();
-  const auto is_other = [&task](const Candidate& candidate) {
-    return candidate.agent != task.agent;
-  };
-  const auto untried =
-      std::ranges::find_if(candidates, [&](const Candidate& candidate) {
-        return is_other(candidate) && !this->failure_attribution.HasFailedOn(
-                                          job, std::string(candidate.agent));
-      });
-  if (untried != candidates.end())
-    return untried;
-  const auto other = std::ranges::find_if(candidates, is_other);
-  return other == candidates.end() ? candidates.begin() : other;
+  auto best = candidates.end();
+  std::tuple<bool, bool, std::size_t> best_rank;
+  for (auto it = candidates.begin(); it != candidates.end(); ++it) {
+    const std::string agent(it->agent);
+    const std::tuple rank(agent == task.agent,
+                          this->failure_attribution.HasFailedOn(job, agent),
+                          this->failure_attribution.CountFailedRuns(agent));
+    if (best != candidates.end() && rank >= best_rank)
+      continue;
+    best = it;
+    best_rank = rank;
+  }
+  return best;
 }
 
 void JobScheduler::AssignTask(const JobTable& table,
--- a/src/libjobs/job_scheduler_test.cc
+++ b/src/libjobs/job_scheduler_test.cc
@@ -45,14 +45,15 @@
   }
   void Submit(const std::string& id, std::uint32_t count,
               std::uint32_t cpu_milli, std::uint32_t priority,
-              const std::function<void(wire::JobStep*)>& change = {}) {
+              const std::function<void(wire::JobStep*)>& change = {},
+              std::uint32_t attempts = 3) {
     wire::JobCommand command;
     command.set_group_time_ms(this->group_time);
     wire::JobSpec* spec = command.mutable_submit();
     spec->set_id(id);
     spec->set_service("desk");
     spec->set_priority(priority);
-    spec->set_attempts(3);
+    spec->set_attempts(attempts);
     spec->set_slack_percent(150);
     wire::JobStep* step = spec->add_steps();
     step->set_count(count);
@@ -77,6 +78,10 @@
     report.mutable_ends()->set_up_to(1);
   }
   void ApplyFailure(const std::string& agent, const TaskKey& key) {
+    this->ApplyEnd(agent, key, wire::RUN_END_FAILED);
+  }
+  void ApplyEnd(const std::string& agent, const TaskKey& key,
+                wire::RunEnd how) {
     wire::JobCommand command;
     wire::WorkerEnds* worker_ends = command.add_ends();
     worker_ends->set_agent(agent);
@@ -86,7 +91,7 @@
     end->set_number(this->ends);
     *end->mutable_task() = this->table.NameOf(key);
     end->set_run(this->table.Task(key).run);
-    end->set_how(wire::RUN_END_FAILED);
+    end->set_how(how);
     this->Apply(command);
   }
 };
@@ -802,4 +807,29 @@
   LONGS_EQUAL(1, this->CountRunning("serve"));
 }
 
+TEST(JobScheduler, JobsWithTwoAttemptsAreDoneBesideTwoFaultyWorkers) {
+  constexpr int kJobs = 20;
+  for (int job = 1; job <= kJobs; ++job) {
+    this->Submit("j-" + std::to_string(job), 1, 1000, 0, {}, 2);
+    for (int round = 0; round < 3; ++round) {
+      for (const char* agent : {"a", "b", "c"})
+        this->Deliver(this->Report(agent));
+      this->Decide();
+      for (const char* agent : {"a", "b", "c"}) {
+        const std::set<TaskKey> runs = this->table.FindWorker(agent)->runs;
+        const bool sound = std::string(agent) == "c";
+        for (const TaskKey& key : runs)
+          this->ApplyEnd(agent, key,
+                         sound ? wire::RUN_END_DONE : wire::RUN_END_FAILED);
+      }
+      this->now += Milliseconds(20);
+    }
+  }
+  int done = 0;
+  for (const auto& [sequence, job] : this->table.jobs())
+    done += job.state == wire::JOB_STATE_COMPLETED ? 1 : 0;
+  // The first job fails on both.
+  LONGS_EQUAL(kJobs - 1, done);
+}
+
 }  // namespace savoryring
