A refused connection does not count as an unanswered start

A run comes back from a worker that refuses connections for a moment, and each return counts as a failure of that worker. Cause: a refusal counted as an unanswered start call. Refusals come at once, so two of them 150 ms apart returned the run. Evidence: WorkerAgent.ABriefRefusalOfConnectionsDoesNotReturnARun failed before (1 stop, expected 0). Ruled out: resetting the count at a refusal; it shows no more than that nobody listens. Change: only calls that were not answered count. A worker that refuses for longer than refused_timeout is reported as gone, as before. Conclusion: the number of returns follows the time-outs of calls alone.

--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -321,10 +321,12 @@
     }
     this->report_pending = true;
   }
-  if (outcome == CallOutcome::kNoAnswer ||
-      outcome == CallOutcome::kConnectionRefused) {
+  if (outcome == CallOutcome::kNoAnswer) {
     start_state.maybe_started = true;
     start_state.unanswered_calls += 1;
+  } else if (outcome == CallOutcome::kConnectionRefused) {
+    // The worker's process may be about to listen; `refused_timeout` decides.
+    start_state.maybe_started = true;
   } else {
     start_state.unanswered_calls = 0;
   }
--- a/src/libjobs/worker_agent_test.cc
+++ b/src/libjobs/worker_agent_test.cc
@@ -192,6 +192,20 @@
   LONGS_EQUAL(1, this->stops.size());
 }
 
+TEST(WorkerAgent, ABriefRefusalOfConnectionsDoesNotReturnARun) {
+  this->Announce();
+  this->DeliverOrders(this->Orders());
+  this->AnswerWatch({});
+  this->DeliverOrders(this->OrderStart("j", 1));
+  for (int call = 0; call < 2; ++call) {
+    this->agent.OnStartResult(this->starts.back(),
+                              CallOutcome::kConnectionRefused, this->now);
+    this->AdvanceTime(Milliseconds(160));
+  }
+  LONGS_EQUAL(0, this->stops.size());
+  LONGS_EQUAL(3, this->starts.size());
+}
+
 TEST(WorkerAgent, RejectedStartIsStoppedIfAnEarlierCallWasUnanswered) {
   this->Announce();
   this->DeliverOrders(this->OrderStart("j", 1));
