A worker that rejects watch calls has no current list

Runs of a worker that answers 429, 503 or a newer token to watch calls were reported as listed for ever, although its hold had expired and it had ended them. Cause: only unanswered, refused and misdirected calls made the list outdated, and each rejected call counted as one that might have extended the hold. Evidence: WorkerAgent.ARejectedWatchCallDoesNotKeepTheListCurrent and AWorkerThatRejectsWatchCallsIsGoneAfterItsHoldExpires failed before (listed; not gone 5 s after the last answer). AWorkerThatAnotherLeaderHoldsIsNotReportedAsGone held before and guards the change. Ruled out: counting on the hold of this agent alone after a stale token; whoever carried the newer token may have extended it. Change: any outcome of a watch call but success makes the list outdated. The hold of an open watch call is kept by itself and dropped if the call is rejected. A stale token counts as a hold that was set just now. Conclusion: such a worker is released once its hold and margin are over.

--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -92,6 +92,7 @@
   this->leaving = false;
   this->replaced = false;
   this->watch_open = false;
+  this->watch_hold_until = TimePoint();
   this->next_watch = TimePoint();
   this->throttler = BestEffortThrottler();
 }
@@ -126,8 +127,8 @@
   if (this->connection_refused &&
       now > this->refused_since + this->options.refused_timeout)
     return true;
-  return !this->list_is_current &&
-         now > this->held_until + this->options.hold_margin;
+  const TimePoint held = std::max(this->held_until, this->watch_hold_until);
+  return !this->list_is_current && now > held + this->options.hold_margin;
 }
 
 // --- Orders ---
@@ -284,7 +285,7 @@
       this->HasLease(now) && (this->list_is_current || !this->has_list);
   const TimePoint hold_until =
       extend_hold ? this->HoldDeadline(now) : TimePoint();
-  this->held_until = std::max(this->held_until, hold_until);
+  this->watch_hold_until = hold_until;
   const Milliseconds wait =
       this->list_is_current ? this->options.max_watch_wait : Milliseconds(0);
   this->effects.emplace_back(
@@ -385,7 +386,17 @@
     return;
   this->watch_open = false;
   this->RecordOutcome(outcome, now);
+  // A worker that rejects a watch call has done nothing.
+  if (outcome != CallOutcome::kRejected && outcome != CallOutcome::kStaleToken)
+    this->held_until = std::max(this->held_until, call.hold_until);
+  this->watch_hold_until = TimePoint();
+  // The holder of the newer token may have extended the hold just now.
+  if (outcome == CallOutcome::kStaleToken) {
+    this->held_until =
+        std::max(this->held_until, now + this->options.hold_duration);
+  }
   if (outcome != CallOutcome::kDone) {
+    this->list_is_current = false;
     this->next_watch = now + this->options.retry_delay;
     this->report_pending = this->report_pending || this->has_list;
     this->IssueCalls(now);
--- a/src/libjobs/worker_agent.h
+++ b/src/libjobs/worker_agent.h
@@ -200,9 +200,10 @@
   bool list_is_current = false;  // no call failed since the last list
   bool watch_open = false;
   TimePoint next_watch;
-  TimePoint watch_sent;     // time of the latest watch call
-  TimePoint held_until;     // latest hold that any call may have set
-  TimePoint refused_since;  // valid while `connection_refused`
+  TimePoint watch_sent;        // time of the latest watch call
+  TimePoint held_until;        // latest hold that any other call may have set
+  TimePoint watch_hold_until;  // hold that the open watch call may set
+  TimePoint refused_since;     // valid while `connection_refused`
   bool connection_refused = false;
   bool leaving = false;
   bool replaced = false;  // another incarnation answered a call
--- a/src/libjobs/worker_agent_test.cc
+++ b/src/libjobs/worker_agent_test.cc
@@ -283,6 +283,51 @@
   CHECK(this->reports.back().worker_gone());
 }
 
+TEST(WorkerAgent, ARejectedWatchCallDoesNotKeepTheListCurrent) {
+  for (const CallOutcome outcome :
+       {CallOutcome::kRejected, CallOutcome::kStaleToken}) {
+    this->agent = WorkerAgent({.agent = "a"}, this->now);
+    this->Announce();
+    this->DeliverOrders(this->Orders());
+    this->AnswerWatch({.running = {this->Running("j", 1)}});
+    this->AnswerWatch({}, outcome);
+    this->AdvanceTime(Milliseconds(600));
+    CHECK(!this->reports.back().listed());
+  }
+}
+
+TEST(WorkerAgent, AWorkerThatRejectsWatchCallsIsGoneAfterItsHoldExpires) {
+  for (const bool has_list : {false, true}) {
+    this->agent = WorkerAgent({.agent = "a"}, this->now);
+    this->Announce();
+    this->DeliverOrders(this->Orders());
+    if (has_list)
+      this->AnswerWatch({.running = {this->Running("j", 1)}});
+    const TimePoint held = this->now + Milliseconds(4000);
+    while (this->now < held + Milliseconds(1000)) {
+      this->DeliverOrders(this->Orders());
+      if (!this->watches.empty())
+        this->AnswerWatch({}, CallOutcome::kRejected);
+      this->AdvanceTime(Milliseconds(100));
+      CHECK(this->now >= held || !this->reports.back().worker_gone());
+    }
+    CHECK(this->reports.back().worker_gone());
+  }
+}
+
+// A holder of a newer token may have extended the hold just now.
+TEST(WorkerAgent, AWorkerThatAnotherLeaderHoldsIsNotReportedAsGone) {
+  this->Announce();
+  this->DeliverOrders(this->Orders());
+  this->AnswerWatch({.running = {this->Running("j", 1)}});
+  for (int round = 0; round < 60; ++round) {
+    if (!this->watches.empty())
+      this->AnswerWatch({}, CallOutcome::kStaleToken);
+    this->AdvanceTime(Milliseconds(100));
+    CHECK(!this->reports.back().worker_gone());
+  }
+}
+
 TEST(WorkerAgent, OrdersFromBeforeAGoneReportAreIgnored) {
   this->Announce();
   this->DeliverOrders(this->OrderStart("j", 1));
