A rejection is reported until the leader has processed it

A run that was returned stays assigned for seconds if one report is lost. An order that was on its way when the run was returned started it again. Cause: a rejection was in one report only, and then nothing kept an earlier order of the same run from being executed, although the leader might place the task elsewhere. Evidence: WorkerAgent.ARejectionIsRepeatedUntilTheLeaderHasProcessedIt (0 of 1 in the next report) and AnOrderFromBeforeARejectionDoesNotStartTheRunAgain (2 starts, expected 1) failed before. ARepeatedRejectionDoesNotDelayAHigherRun held before. Ruled out: numbers for rejections as for ends; JobTable::ApplyEnd goes by the number of the run. A rejection is not proposed for ever: the leader's next orders with a lease end the repetition. Change: rejections are kept by task and are in each report until orders with a lease for this incarnation echo a report that carried them. Until then start orders for that run or a lower one are skipped. Conclusion: a lost report costs one report interval. A proposal that is lost with its leader is still healed by a new start order.

--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -84,7 +84,7 @@
   this->ForgetOrders();
   this->listed.clear();
   this->ended.clear();
-  this->rejected.clear();
+  this->rejections.clear();
   this->acknowledged = 0;
   this->has_list = false;
   this->list_is_current = false;
@@ -154,6 +154,10 @@
   std::erase_if(this->ended, [this](const wire::TaskEnd& end) {
     return end.number() <= this->acknowledged;
   });
+  std::erase_if(this->rejections, [&orders](const auto& item) {
+    const std::uint64_t first_report_ns = item.second.first_report_ns;
+    return first_report_ns != 0 && orders.echoed_ns() >= first_report_ns;
+  });
   for (const wire::LearnedImage& learned : orders.learned())
     this->throttler.MergeLearned(learned);
   for (const wire::StartOrder& start : orders.starts()) {
@@ -161,7 +165,10 @@
     const auto stop = this->stops.find(name);
     const bool stopped =
         stop != this->stops.end() && stop->second.run >= start.run();
-    if (stopped || this->HasEnded(name, start.run()))
+    // The leader may not know of the rejection yet, or may already have
+    // assigned the task to another worker.
+    if (stopped || this->HasEnded(name, start.run()) ||
+        this->IsRejected(name, start.run()))
       continue;
     StartState& start_state = this->starts[name];
     if (start_state.order.run() > start.run())
@@ -202,6 +209,11 @@
   });
 }
 
+bool WorkerAgent::IsRejected(const std::string& task, std::uint32_t run) const {
+  const auto found = this->rejections.find(task);
+  return found != this->rejections.end() && found->second.run >= run;
+}
+
 void WorkerAgent::IssueCalls(TimePoint now) {
   if (!this->worker)
     return;
@@ -446,11 +458,10 @@
 }
 
 void WorkerAgent::AddRejection(const wire::TaskName& task, std::uint32_t run) {
-  wire::TaskEnd end;
-  *end.mutable_task() = task;
-  end.set_run(run);
-  end.set_how(wire::RUN_END_REJECTED);
-  this->rejected.push_back(std::move(end));
+  Rejection& rejection = this->rejections[TaskNameText(task)];
+  if (rejection.run >= run)
+    return;
+  rejection = {.task = task, .run = run};
   this->report_pending = true;
 }
 
@@ -526,7 +537,7 @@
     this->last_gone_report_ns = report.sent_ns();
     this->ForgetOrders();
     this->listed.clear();
-    this->rejected.clear();
+    this->rejections.clear();
   }
   for (const auto& [name, run] : this->listed) {
     const auto start = this->starts.find(name);
@@ -553,9 +564,14 @@
     *ends->add_ends() = end;
     ends->set_up_to(std::max(ends->up_to(), end.number()));
   }
-  for (wire::TaskEnd& end : this->rejected)
-    *report.add_rejected() = std::move(end);
-  this->rejected.clear();
+  for (auto& [name, rejection] : this->rejections) {
+    if (rejection.first_report_ns == 0)
+      rejection.first_report_ns = report.sent_ns();
+    wire::TaskEnd* end = report.add_rejected();
+    *end->mutable_task() = rejection.task;
+    end->set_run(rejection.run);
+    end->set_how(wire::RUN_END_REJECTED);
+  }
   this->effects.emplace_back(std::move(effect));
 }
 
--- a/src/libjobs/worker_agent.h
+++ b/src/libjobs/worker_agent.h
@@ -164,6 +164,13 @@
     TimePoint next_attempt;
   };
 
+  // Reported until the leader has processed a report that carried it.
+  struct Rejection {
+    wire::TaskName task;
+    std::uint32_t run = 0;
+    std::uint64_t first_report_ns = 0;  // 0: not yet reported
+  };
+
   bool IsCurrentIncarnation(std::int64_t born_ms) const;
   void ForgetWorker();
   void ForgetOrders();
@@ -172,6 +179,7 @@
                std::uint32_t run,
                TimePoint confirmed_at);
   bool HasEnded(const std::string& task, std::uint32_t run) const;
+  bool IsRejected(const std::string& task, std::uint32_t run) const;
   void IssueCalls(TimePoint now);
   void StopUnstartedRuns();
   void IssueStartCalls(TimePoint now);
@@ -194,8 +202,8 @@
   std::map<std::string, StartState> starts;  // by task name, as the next two
   std::map<std::string, StopState> stops;
   std::map<std::string, ListedRun> listed;
-  std::vector<wire::TaskEnd> ended;     // listed, not yet acknowledged
-  std::vector<wire::TaskEnd> rejected;  // not yet reported
+  std::vector<wire::TaskEnd> ended;             // listed, not yet acknowledged
+  std::map<std::string, Rejection> rejections;  // by task name
   bool has_list = false;
   bool list_is_current = false;  // no call failed since the last list
   bool watch_open = false;
--- a/src/libjobs/worker_agent_test.cc
+++ b/src/libjobs/worker_agent_test.cc
@@ -239,6 +239,63 @@
   LONGS_EQUAL(3, this->reports.back().rejected(0).run());
 }
 
+TEST(WorkerAgent, ARejectionIsRepeatedUntilTheLeaderHasProcessedIt) {
+  this->Announce();
+  this->DeliverOrders(this->OrderStart("j", 1));
+  const wire::AgentOrders before = this->Orders();
+  this->AdvanceTime(Milliseconds(10));
+  this->agent.OnStartResult(this->starts[0], CallOutcome::kRejected, this->now);
+  this->AdvanceTime(Milliseconds(20));
+  LONGS_EQUAL(1, this->reports.back().rejected_size());
+  this->AdvanceTime(Milliseconds(600));
+  LONGS_EQUAL(1, this->reports.back().rejected_size());
+  // These answer an earlier report, grant no lease, or are for another worker.
+  this->DeliverOrders(before);
+  wire::AgentOrders orders = this->Orders();
+  orders.set_lease_ms(0);
+  this->DeliverOrders(orders);
+  orders = this->Orders();
+  orders.set_born_ms(2);
+  this->DeliverOrders(orders);
+  this->AdvanceTime(Milliseconds(600));
+  LONGS_EQUAL(1, this->reports.back().rejected_size());
+  orders = this->Orders();
+  orders.set_echoed_ns(this->reports.back().sent_ns());
+  this->DeliverOrders(orders);
+  this->AdvanceTime(Milliseconds(600));
+  LONGS_EQUAL(0, this->reports.back().rejected_size());
+}
+
+// The leader may have assigned the run to another worker by then.
+TEST(WorkerAgent, AnOrderFromBeforeARejectionDoesNotStartTheRunAgain) {
+  this->Announce();
+  this->DeliverOrders(this->OrderStart("j", 1));
+  const wire::AgentOrders before = this->OrderStart("j", 1);
+  this->AdvanceTime(Milliseconds(10));
+  this->agent.OnStartResult(this->starts[0], CallOutcome::kRejected, this->now);
+  this->AdvanceTime(Milliseconds(20));
+  this->DeliverOrders(before);
+  this->AdvanceTime(Milliseconds(200));
+  LONGS_EQUAL(1, this->starts.size());
+}
+
+TEST(WorkerAgent, ARepeatedRejectionDoesNotDelayAHigherRun) {
+  this->Announce();
+  this->DeliverOrders(this->OrderStart("j", 1));
+  this->AdvanceTime(Milliseconds(10));
+  this->agent.OnStartResult(this->starts[0], CallOutcome::kRejected, this->now);
+  this->AdvanceTime(Milliseconds(20));
+  wire::AgentOrders orders = this->OrderStart("j", 2);
+  orders.set_echoed_ns(this->reports.back().sent_ns() - 1);
+  this->DeliverOrders(orders);
+  LONGS_EQUAL(2, this->starts.size());
+  LONGS_EQUAL(2, this->starts[1].order.run());
+  this->agent.OnStartResult(this->starts[1], CallOutcome::kDone, this->now);
+  this->AdvanceTime(Milliseconds(600));
+  LONGS_EQUAL(1, this->reports.back().runs_size());
+  LONGS_EQUAL(2, this->reports.back().runs(0).run());
+}
+
 TEST(WorkerAgent, EndsAreReportedUntilTheyAreCommitted) {
   this->Announce();
   this->DeliverOrders(this->OrderStart("j", 1));
