Runs come back sooner from a worker that answers no starts

Cause: a watch call waited its 500 ms even while a listing was all that a stop still needed, and each run waited for two time-outs of its own, four runs at a time. Evidence: WorkerAgent.AStopIsSettledAsSoonAsItsEffectShows (not within 600 ms) and StartsNeverIssuedToAWorkerThatAnswersNoneAreReturned (0 of 4 stops) failed before. AStoppedRunThatStillRunsIsNotPolled, AnAnswerShowsThatAWorkerTakesStarts and AWorkerThatAnsweredNoStartsIsTriedAgain held before and guard the change. Ruled out: watch calls without any wait until a stop is settled, which would be some thirty calls for each stop; counting calls that were open together, which would take one pause of the worker for several; keeping the count across runs that are returned without a try, after which nothing would ever reset it. Change: a watch call waits at most until the effect of each stop must show, if its run isn't listed. Unanswered start calls are counted for the worker, those open together once, until a start call is answered; at two in a row the runs that were not issued yet are stopped as well.

--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -10,8 +10,9 @@
 
 // Limit on concurrent start calls to the worker.
 constexpr std::size_t kMaxOpenStartCalls = 4;
-// A worker that leaves this many start calls for a run in a row without an
-// answer may do so for long; the run is placed elsewhere.
+// A worker that leaves this many start calls in a row without an answer may do
+// so for long; the run, and those that were not issued yet, are placed
+// elsewhere.
 constexpr int kMaxUnansweredStartCalls = 2;
 // Delay between two watch calls, so that ends that occur together are listed
 // in one answer.
@@ -94,6 +95,7 @@
   this->watch_open = false;
   this->watch_hold_until = TimePoint();
   this->next_watch = TimePoint();
+  this->unanswered_start_calls = 0;
   this->throttler = BestEffortThrottler();
 }
 
@@ -257,16 +259,50 @@
     if (not_due || this->worker->draining() || open >= kMaxOpenStartCalls)
       continue;
     start_state.call_open = true;
+    start_state.call_number = ++this->last_start_call;
     open += 1;
     const TimePoint hold_until = this->HoldDeadline(now);
     this->held_until = std::max(this->held_until, hold_until);
     this->effects.emplace_back(StartCall{.born_ms = this->worker->born_ms(),
                                          .order = start_state.order,
                                          .token = this->token,
-                                         .hold_until = hold_until});
+                                         .hold_until = hold_until,
+                                         .number = start_state.call_number});
   }
 }
 
+// A worker that answers no starts would let each run wait for its own
+// time-outs. Runs ordered later are tried again.
+void WorkerAgent::StopUnissuedRuns() {
+  if (!this->has_list)
+    return;
+  std::erase_if(this->starts, [this](const auto& item) {
+    const auto& [name, start_state] = item;
+    const wire::StartOrder& order = start_state.order;
+    if (start_state.call_number != 0 || this->stops.contains(name) ||
+        this->ListedRunNumber(name) == order.run())
+      return false;
+    this->AddStop(order.task(), order.run(), TimePoint());
+    return true;
+  });
+}
+
+void WorkerAgent::CountUnansweredStart(const StartCall& call,
+                                       CallOutcome outcome) {
+  if (outcome == CallOutcome::kConnectionRefused)
+    return;
+  if (outcome != CallOutcome::kNoAnswer) {
+    this->unanswered_start_calls = 0;
+    return;
+  }
+  if (call.number > this->counted_start_call) {
+    this->unanswered_start_calls += 1;
+    this->counted_start_call = this->last_start_call;
+  }
+  if (this->unanswered_start_calls >= kMaxUnansweredStartCalls)
+    this->StopUnissuedRuns();
+}
+
 void WorkerAgent::IssueStopCalls(TimePoint now) {
   for (auto& [name, stop_state] : this->stops) {
     const auto start = this->starts.find(name);
@@ -298,15 +334,36 @@
   const TimePoint hold_until =
       extend_hold ? this->HoldDeadline(now) : TimePoint();
   this->watch_hold_until = hold_until;
-  const Milliseconds wait =
-      this->list_is_current ? this->options.max_watch_wait : Milliseconds(0);
+  const TimePoint wait_deadline = this->WatchDeadline(now);
   this->effects.emplace_back(
       WatchCall{.born_ms = this->worker->born_ms(),
                 .token = this->token,
                 .acknowledged = this->acknowledged,
                 .hold_until = hold_until,
-                .wait_deadline = now + wait,
-                .answer_deadline = now + wait + kWatchAnswerMargin});
+                .wait_deadline = wait_deadline,
+                .answer_deadline = wait_deadline + kWatchAnswerMargin});
+}
+
+// Stops of runs that are not listed are settled by the first listing that shows
+// their effect, which no end announces.
+TimePoint WorkerAgent::WatchDeadline(TimePoint now) const {
+  if (!this->list_is_current)
+    return now;
+  TimePoint deadline = now + this->options.max_watch_wait;
+  for (const auto& [name, stop_state] : this->stops) {
+    if (this->StillRuns(name, stop_state.run))
+      continue;
+    const bool confirmed = stop_state.confirmed_at != TimePoint();
+    const TimePoint visible =
+        (confirmed ? stop_state.confirmed_at : now) + kStopVisibleDelay;
+    deadline = std::min(deadline, std::max(now, visible));
+  }
+  return deadline;
+}
+
+bool WorkerAgent::StillRuns(const std::string& task, std::uint32_t run) const {
+  const auto found = this->listed.find(task);
+  return found != this->listed.end() && found->second.run <= run;
 }
 
 // --- Outcomes ---
@@ -317,6 +374,7 @@
   if (!this->IsCurrentIncarnation(call.born_ms))
     return;
   this->RecordOutcome(outcome, now);
+  this->CountUnansweredStart(call, outcome);
   const std::string name = TaskNameText(call.order.task());
   const auto found = this->starts.find(name);
   if (found == this->starts.end() ||
@@ -441,13 +499,10 @@
   // never started here; it is reported as rejected.
   std::erase_if(this->stops, [&](const auto& item) {
     const StopState& stop_state = item.second;
-    const auto running = this->listed.find(item.first);
-    const bool still_runs =
-        running != this->listed.end() && running->second.run <= stop_state.run;
     const bool settled =
         stop_state.confirmed_at != TimePoint() &&
         this->watch_sent > stop_state.confirmed_at + kStopVisibleDelay;
-    if (!settled || still_runs)
+    if (!settled || this->StillRuns(item.first, stop_state.run))
       return false;
     this->AddRejection(stop_state.task, stop_state.run);
     return true;
--- a/src/libjobs/worker_agent.h
+++ b/src/libjobs/worker_agent.h
@@ -85,6 +85,7 @@
   wire::StartOrder order;
   std::uint64_t token = 0;
   TimePoint hold_until;
+  std::uint64_t number = 0;  ///< Start calls are numbered from 1.
 };
 struct StopCall {
   std::int64_t born_ms = 0;
@@ -150,6 +151,7 @@
  private:
   struct StartState {
     wire::StartOrder order;
+    std::uint64_t call_number = 0;  // latest call; 0: none was issued
     bool call_open = false;
     bool confirmed = false;
     bool maybe_started = false;  // an earlier call was not answered
@@ -182,6 +184,8 @@
   bool IsRejected(const std::string& task, std::uint32_t run) const;
   void IssueCalls(TimePoint now);
   void StopUnstartedRuns();
+  void StopUnissuedRuns();
+  void CountUnansweredStart(const StartCall& call, CallOutcome outcome);
   void IssueStartCalls(TimePoint now);
   void IssueStopCalls(TimePoint now);
   void IssueWatchCall(TimePoint now);
@@ -192,6 +196,8 @@
   bool IsWorkerGone(TimePoint now) const;
   void IssueReport(TimePoint now);
   TimePoint HoldDeadline(TimePoint now) const;
+  TimePoint WatchDeadline(TimePoint now) const;
+  bool StillRuns(const std::string& task, std::uint32_t run) const;
   std::uint32_t ListedRunNumber(const std::string& task) const;
 
   WorkerAgentOptions options;
@@ -204,6 +210,11 @@
   std::map<std::string, ListedRun> listed;
   std::vector<wire::TaskEnd> ended;             // listed, not yet acknowledged
   std::map<std::string, Rejection> rejections;  // by task name
+  std::uint64_t last_start_call = 0;  // number of the latest start call
+  int unanswered_start_calls = 0;     // to any run, one after another
+  // Start calls up to this number are not counted again: they were open
+  // together with one that was.
+  std::uint64_t counted_start_call = 0;
   bool has_list = false;
   bool list_is_current = false;  // no call failed since the last list
   bool watch_open = false;
--- a/src/libjobs/worker_agent_test.cc
+++ b/src/libjobs/worker_agent_test.cc
@@ -1,5 +1,7 @@
 #include "libjobs/worker_agent.h"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 #include "libjobs/job_table.h"
@@ -86,6 +88,19 @@
     this->agent.OnWatchResult(call, outcome, listing, this->now);
     this->AdvanceTime(Milliseconds(20));
   }
+  void OrderManyStarts(int count) {
+    wire::AgentOrders orders = this->Orders();
+    for (int n = 0; n < count; ++n) {
+      wire::StartOrder* start = orders.add_starts();
+      *start->mutable_task() = this->Name("j" + std::to_string(n));
+      start->set_run(1);
+    }
+    this->DeliverOrders(orders);
+  }
+  void AnswerStart(std::size_t call, CallOutcome outcome) {
+    this->agent.OnStartResult(this->starts[call], outcome, this->now);
+    this->Collect();
+  }
   ListedRun Running(const std::string& job, std::uint32_t run) {
     return {.task = this->Name(job), .run = run};
   }
@@ -192,6 +207,54 @@
   LONGS_EQUAL(1, this->stops.size());
 }
 
+TEST(WorkerAgent, StartsNeverIssuedToAWorkerThatAnswersNoneAreReturned) {
+  this->Announce();
+  this->DeliverOrders(this->Orders());
+  this->AnswerWatch({});
+  this->OrderManyStarts(12);
+  // Calls that were open together count once.
+  LONGS_EQUAL(4, this->starts.size());
+  for (std::size_t call = 0; call < 4; ++call)
+    this->AnswerStart(call, CallOutcome::kNoAnswer);
+  LONGS_EQUAL(0, this->stops.size());
+  LONGS_EQUAL(8, this->starts.size());
+  this->AnswerStart(4, CallOutcome::kNoAnswer);
+  // Eight were issued.
+  LONGS_EQUAL(4, this->stops.size());
+  LONGS_EQUAL(8, this->starts.size());
+}
+
+TEST(WorkerAgent, AnAnswerShowsThatAWorkerTakesStarts) {
+  this->Announce();
+  this->DeliverOrders(this->Orders());
+  this->AnswerWatch({});
+  this->OrderManyStarts(12);
+  for (std::size_t call = 0; call < 4; ++call)
+    this->AnswerStart(call, CallOutcome::kNoAnswer);
+  this->AnswerStart(4, CallOutcome::kDone);
+  this->AnswerStart(5, CallOutcome::kNoAnswer);
+  LONGS_EQUAL(0, this->stops.size());
+}
+
+TEST(WorkerAgent, AWorkerThatAnsweredNoStartsIsTriedAgain) {
+  this->Announce();
+  this->DeliverOrders(this->Orders());
+  this->AnswerWatch({});
+  this->OrderManyStarts(8);
+  for (std::size_t call = 0; call < 8; ++call)
+    this->AnswerStart(call, CallOutcome::kNoAnswer);
+  const std::size_t issued = this->starts.size();
+  this->DeliverOrders(this->OrderStart("later", 1));
+  this->AdvanceTime(Milliseconds(20));
+  for (std::size_t call = issued; call < this->starts.size(); ++call)
+    this->AnswerStart(call, CallOutcome::kDone);
+  CHECK(this->agent.HasLease(this->now));
+  const bool tried = std::ranges::any_of(this->starts, [](const auto& call) {
+    return call.order.task().job() == "later";
+  });
+  CHECK(tried);
+}
+
 TEST(WorkerAgent, ABriefRefusalOfConnectionsDoesNotReturnARun) {
   this->Announce();
   this->DeliverOrders(this->Orders());
@@ -296,6 +359,37 @@
   LONGS_EQUAL(2, this->reports.back().runs(0).run());
 }
 
+TEST(WorkerAgent, AStopIsSettledAsSoonAsItsEffectShows) {
+  this->Announce();
+  this->DeliverOrders(this->Orders());
+  this->AnswerWatch({});
+  this->DeliverOrders(this->OrderStop("j", 1));
+  this->agent.OnStopResult(this->stops[0], CallOutcome::kDone, this->now);
+  const TimePoint stopped = this->now;
+  while (this->reports.back().rejected_size() == 0 &&
+         this->now < stopped + Milliseconds(2000)) {
+    this->AdvanceTime(Milliseconds(10));
+    // The worker answers when the wait is over.
+    if (!this->watches.empty() &&
+        this->now >= this->watches.back().wait_deadline)
+      this->AnswerWatch({});
+  }
+  // The watch call that was open when the stop was ordered waits for 500 ms.
+  CHECK(this->now < stopped + Milliseconds(600));
+}
+
+TEST(WorkerAgent, AStoppedRunThatStillRunsIsNotPolled) {
+  this->Announce();
+  this->DeliverOrders(this->Orders());
+  this->AnswerWatch({.running = {this->Running("j", 1)}});
+  this->DeliverOrders(this->OrderStop("j", 1));
+  this->agent.OnStopResult(this->stops[0], CallOutcome::kDone, this->now);
+  this->AnswerWatch({.running = {this->Running("j", 1)}});
+  this->AdvanceTime(Milliseconds(400));
+  this->AnswerWatch({.running = {this->Running("j", 1)}});
+  CHECK(this->watches.back().wait_deadline > this->now + Milliseconds(400));
+}
+
 TEST(WorkerAgent, EndsAreReportedUntilTheyAreCommitted) {
   this->Announce();
   this->DeliverOrders(this->OrderStart("j", 1));
