A full list of ends settles no stop

A run that ended on its worker could be called never started, if 500 ends or more were not acknowledged yet. Cause: that a stopped run neither runs nor ended was concluded from a list which the worker cuts at 500 ends. Evidence: WorkerAgent.AFullListOfEndsDoesNotShowThatARunNeverStarted failed before (1 rejection, expected 0). Change: a list with 500 ends or more settles no stop, and isn't polled for the rest. Conclusion: the stop is settled once the leader has acknowledged enough ends.

--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -22,6 +22,8 @@
 // A listing requested more than this after the answer to a stop call shows the
 // effect of that stop.
 constexpr Milliseconds kStopVisibleDelay{300};
+// The worker lists at most this many ends in one answer, as its protocol says.
+constexpr std::size_t kMaxListedEnds = 500;
 
 bool SameIncarnation(const wire::JobWorkerDescription& a,
                      const wire::JobWorkerDescription& b) {
@@ -89,6 +91,7 @@
   this->acknowledged = 0;
   this->has_list = false;
   this->list_is_current = false;
+  this->ends_are_cut = false;
   this->connection_refused = false;
   this->leaving = false;
   this->replaced = false;
@@ -350,6 +353,9 @@
   if (!this->list_is_current)
     return now;
   TimePoint deadline = now + this->options.max_watch_wait;
+  // Ends that did not fit appear once the leader has acknowledged others.
+  if (this->ends_are_cut)
+    return deadline;
   for (const auto& [name, stop_state] : this->stops) {
     if (this->StillRuns(name, stop_state.run))
       continue;
@@ -475,6 +481,7 @@
   this->next_watch = now + kWatchInterval;
   this->has_list = true;
   this->list_is_current = true;
+  this->ends_are_cut = listing.ended.size() >= kMaxListedEnds;
   this->listed.clear();
   for (const ListedRun& run : listing.running)
     this->listed[TaskNameText(run.task)] = run;
@@ -496,11 +503,12 @@
   this->report_pending =
       this->report_pending || this->ended.size() != ends_before;
   // A stopped run that the worker lists neither as running nor as ended has
-  // never started here; it is reported as rejected.
+  // never started here; it is reported as rejected. Its end may be among those
+  // that did not fit into the list.
   std::erase_if(this->stops, [&](const auto& item) {
     const StopState& stop_state = item.second;
     const bool settled =
-        stop_state.confirmed_at != TimePoint() &&
+        stop_state.confirmed_at != TimePoint() && !this->ends_are_cut &&
         this->watch_sent > stop_state.confirmed_at + kStopVisibleDelay;
     if (!settled || this->StillRuns(item.first, stop_state.run))
       return false;
--- a/src/libjobs/worker_agent.h
+++ b/src/libjobs/worker_agent.h
@@ -217,6 +217,7 @@
   std::uint64_t counted_start_call = 0;
   bool has_list = false;
   bool list_is_current = false;  // no call failed since the last list
+  bool ends_are_cut = false;     // the last list may lack ends
   bool watch_open = false;
   TimePoint next_watch;
   TimePoint watch_sent;        // time of the latest watch call
--- a/src/libjobs/worker_agent_test.cc
+++ b/src/libjobs/worker_agent_test.cc
@@ -359,6 +359,32 @@
   LONGS_EQUAL(2, this->reports.back().runs(0).run());
 }
 
+TEST(WorkerAgent, AFullListOfEndsDoesNotShowThatARunNeverStarted) {
+  this->Announce();
+  this->DeliverOrders(this->Orders());
+  this->AnswerWatch({});
+  this->DeliverOrders(this->OrderStop("j", 1));
+  this->agent.OnStopResult(this->stops[0], CallOutcome::kDone, this->now);
+  WorkerListing full;
+  for (std::uint64_t number = 1; number <= 500; ++number) {
+    wire::TaskEnd end;
+    end.set_number(number);
+    *end.mutable_task() = this->Name("k" + std::to_string(number));
+    end.set_run(1);
+    full.ended.push_back(end);
+  }
+  for (int round = 0; round < 3; ++round) {
+    this->AnswerWatch(full);
+    this->AdvanceTime(Milliseconds(400));
+  }
+  LONGS_EQUAL(0, this->reports.back().rejected_size());
+  // The rest of the ends may take a while; they are not polled for.
+  CHECK(this->watches.back().wait_deadline > this->now);
+  full.ended.pop_back();
+  this->AnswerWatch(full);
+  LONGS_EQUAL(1, this->reports.back().rejected_size());
+}
+
 TEST(WorkerAgent, AStopIsSettledAsSoonAsItsEffectShows) {
   this->Announce();
   this->DeliverOrders(this->Orders());
