A call of an expired lease decides nothing about a run ordered again

A run could be returned as never started while a call that may start it was open or had not been answered. Cause: after a lease lapsed, a run that was ordered again began without memory, and the result of its earlier call was taken for that of the next one. Ruled out: a stop for every run that is rejected after a lapse; only those that an earlier call may have started need one. Change: results count for the latest call of a run, by its number. Runs whose calls were open or unanswered when the lease lapsed are remembered until they are ordered again or the worker's incarnation ends; a rejection then leads to a stop first. Conclusion: such a run is returned only after a stop and a list.

--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -70,6 +70,10 @@
 }
 
 void WorkerAgent::ForgetOrders() {
+  for (const auto& [name, start_state] : this->starts) {
+    if (start_state.call_open || start_state.maybe_started)
+      this->maybe_started[name] = start_state.order.run();
+  }
   this->starts.clear();
   this->stops.clear();
   this->lease_end = TimePoint();
@@ -85,6 +89,7 @@
 
 void WorkerAgent::ForgetWorker() {
   this->ForgetOrders();
+  this->maybe_started.clear();
   this->listed.clear();
   this->ended.clear();
   this->rejections.clear();
@@ -181,6 +186,12 @@
     if (start_state.order.run() != start.run())
       start_state = {};
     start_state.order = start;
+    const auto maybe_started = this->maybe_started.find(name);
+    if (maybe_started != this->maybe_started.end()) {
+      if (maybe_started->second == start.run())
+        start_state.maybe_started = true;
+      this->maybe_started.erase(maybe_started);
+    }
   }
   for (const wire::StopOrder& stop : orders.stops()) {
     const std::string name = TaskNameText(stop.task());
@@ -383,8 +394,8 @@
   this->CountUnansweredStart(call, outcome);
   const std::string name = TaskNameText(call.order.task());
   const auto found = this->starts.find(name);
-  if (found == this->starts.end() ||
-      found->second.order.run() != call.order.run())
+  // A call of a lease that has expired is not the latest call for its run.
+  if (found == this->starts.end() || found->second.call_number != call.number)
     return;
   StartState& start_state = found->second;
   start_state.call_open = false;
--- a/src/libjobs/worker_agent.h
+++ b/src/libjobs/worker_agent.h
@@ -207,6 +207,8 @@
   std::uint64_t acknowledged = 0;            // ends up to this are committed
   std::map<std::string, StartState> starts;  // by task name, as the next two
   std::map<std::string, StopState> stops;
+  // Highest runs that calls under an expired lease may have started, by task.
+  std::map<std::string, std::uint32_t> maybe_started;
   std::map<std::string, ListedRun> listed;
   std::vector<wire::TaskEnd> ended;             // listed, not yet acknowledged
   std::map<std::string, Rejection> rejections;  // by task name
--- a/src/libjobs/worker_agent_test.cc
+++ b/src/libjobs/worker_agent_test.cc
@@ -531,6 +531,53 @@
   CHECK(this->starts.empty());
 }
 
+TEST(WorkerAgent, TheResultOfACallOfAnEndedLeaseIsNotThatOfTheNextCall) {
+  this->Announce();
+  this->DeliverOrders(this->OrderStart("j", 1));
+  this->now += Milliseconds(6100);
+  this->DeliverOrders(this->OrderStart("j", 1));
+  LONGS_EQUAL(2, this->starts.size());  // both calls are open
+  this->AnswerStart(0, CallOutcome::kRejected);
+  this->AdvanceTime(Milliseconds(20));
+  LONGS_EQUAL(0, this->reports.back().rejected_size());
+  LONGS_EQUAL(0, this->stops.size());
+  LONGS_EQUAL(1, this->reports.back().runs_size());
+  this->AnswerStart(1, CallOutcome::kDone);
+  this->AdvanceTime(Milliseconds(20));
+  CHECK(!this->reports.back().runs(0).pending());
+}
+
+// The worker may execute the call of the ended lease after the one it rejected.
+TEST(WorkerAgent, ARunThatACallOfAnEndedLeaseMayStartIsStopped) {
+  for (const bool answered : {false, true}) {
+    this->agent = WorkerAgent({.agent = "a"}, this->now);
+    this->starts.clear();
+    this->stops.clear();
+    this->Announce();
+    this->DeliverOrders(this->OrderStart("j", 1));
+    if (answered)
+      this->AnswerStart(0, CallOutcome::kNoAnswer);
+    this->now += Milliseconds(6100);
+    this->DeliverOrders(this->OrderStart("j", 1));
+    this->AnswerStart(this->starts.size() - 1, CallOutcome::kRejected);
+    this->AdvanceTime(Milliseconds(20));
+    LONGS_EQUAL(0, this->reports.back().rejected_size());
+    LONGS_EQUAL(1, this->stops.size());
+  }
+}
+
+TEST(WorkerAgent, ARunThatNoCallOfAnEndedLeaseStartsIsRejectedAtOnce) {
+  this->Announce();
+  this->DeliverOrders(this->OrderStart("j", 1));
+  this->AnswerStart(0, CallOutcome::kNoAnswer);
+  this->now += Milliseconds(6100);
+  this->DeliverOrders(this->OrderStart("j", 2));
+  this->AnswerStart(1, CallOutcome::kRejected);
+  this->AdvanceTime(Milliseconds(20));
+  LONGS_EQUAL(1, this->reports.back().rejected_size());
+  LONGS_EQUAL(0, this->stops.size());
+}
+
 TEST(WorkerAgent, RepeatedStartOrderIsIgnoredAfterTheRunEnded) {
   this->Announce();
   this->DeliverOrders(this->OrderStart("j", 1));
