Evidence on jobs ends with the job; a retry stores its count

What callers saw: nothing yet. Cause: a run that ends as failed after its job ended left an entry in FailureAttribution that nothing removed before the term ended; LastingRetry stored a duration. Change: ends of runs of ended jobs are no evidence; the delay follows from the count of runs that ended in a row.

--- a/src/libjobs/job_scheduler.cc
+++ b/src/libjobs/job_scheduler.cc
@@ -434,6 +434,9 @@
   if (ran)
     this->started_jobs.insert(event.key.step.sequence);
   AgentState& agent_state = this->agents[event.agent];
+  // Nothing would remove the evidence on a job that has ended.
+  if (!event.job_open)
+    return;
   if (event.run_end == wire::RUN_END_DONE)
     this->failure_attribution.OnSucceeded(event.agent, event.job);
   if (event.run_end != wire::RUN_END_FAILED &&
@@ -458,11 +461,12 @@
 }
 
 void JobScheduler::DelayRetry(const TaskKey& key, TimePoint now) {
-  const auto [retry, is_first] = this->lasting_retries.try_emplace(key);
+  constexpr int kMaxDoublings = 10;
+  LastingRetry& retry = this->lasting_retries[key];
   const Milliseconds delay =
-      is_first ? kMinRetryDelay
-               : std::min(2 * retry->second.delay, kMaxRetryDelay);
-  retry->second = {.next_start = now + delay, .delay = delay};
+      kMinRetryDelay * (1 << std::min(retry.ended_runs, kMaxDoublings));
+  retry.next_start = now + std::min(delay, kMaxRetryDelay);
+  retry.ended_runs += 1;
 }
 
 bool JobScheduler::IsRetryDelayed(const TaskKey& key) const {
--- a/src/libjobs/job_scheduler.h
+++ b/src/libjobs/job_scheduler.h
@@ -139,7 +139,7 @@
   // A lasting task whose runs ended before it became available.
   struct LastingRetry {
     TimePoint next_start;  // not placed before this
-    Milliseconds delay;    // that led to it
+    int ended_runs = 0;    // in a row
   };
   // A best-effort run that may get more CPU time on another worker.
   struct SlowRun {
--- a/src/libjobs/job_table.cc
+++ b/src/libjobs/job_table.cc
@@ -308,7 +308,8 @@
                        .run = end.run(),
                        .run_end = end.how(),
                        .key = key,
-                       .lasting = lasting});
+                       .lasting = lasting,
+                       .job_open = job.IsOpen()});
   }
   // A finished run counts even after it was released, unless a newer run of the
   // task has started.
--- a/src/libjobs/job_table.h
+++ b/src/libjobs/job_table.h
@@ -72,6 +72,7 @@
   std::string reason;    ///< For kAccepted: the queue.
   TaskKey key;           ///< Default-constructed without a task.
   bool lasting = false;  ///< Whether the task belongs to a lasting step.
+  bool job_open = true;  ///< For kEnded: whether the job had not ended before.
 };
 
 /// An event in the history of a job. Stored as wire::StoredMoment.
