A lasting task does not pass for available by its earlier run

What callers saw: nothing yet. A lasting task whose run failed before any report of it was placed again without the growing delay, and the failure did not count. Cause: OnRunEnded read the progress of the run that it had tracked last, whichever its number. Change: the run numbers are compared.

--- a/src/libjobs/job_scheduler.cc
+++ b/src/libjobs/job_scheduler.cc
@@ -448,7 +448,7 @@
   // nothing about the worker.
   const auto run = agent_state.runs.find(event.key);
   if (event.lasting && run != agent_state.runs.end() &&
-      run->second.percent == kFullPercent)
+      run->second.run == event.run && run->second.percent == kFullPercent)
     return;
   this->failure_attribution.OnFailed(event.agent, event.job);
   if (event.lasting)
--- a/src/libjobs/job_scheduler_test.cc
+++ b/src/libjobs/job_scheduler_test.cc
@@ -807,6 +807,26 @@
   LONGS_EQUAL(1, this->CountRunning("serve"));
 }
 
+TEST(JobScheduler, ALastingTaskDoesNotPassForAvailableByItsEarlierRun) {
+  this->Submit("serve", 1, 1000, 0,
+               [](wire::JobStep* step) { step->set_lasting(true); });
+  const TaskKey key{.step = {.sequence = 1}};
+  this->Deliver(this->Report("a"));
+  this->Decide();
+  wire::AgentReport report = this->Report("a");
+  wire::RunStatus* status = report.add_runs();
+  *status->mutable_task() = this->table.NameOf(key);
+  status->set_run(1);
+  status->set_percent(100);
+  this->Deliver(report);
+  this->ApplyFailure("a", key);
+  this->Decide();
+  LONGS_EQUAL(1, this->CountRunning("serve"));
+  this->ApplyFailure("a", key);
+  this->Decide();
+  LONGS_EQUAL(0, this->CountRunning("serve"));
+}
+
 TEST(JobScheduler, JobsWithTwoAttemptsAreDoneBesideTwoFaultyWorkers) {
   constexpr int kJobs = 20;
   for (int job = 1; job <= kJobs; ++job) {
--- a/testsuite/schedule/lasting_tasks.cc
+++ b/testsuite/schedule/lasting_tasks.cc
@@ -9,11 +9,11 @@
 namespace savoryring {
 namespace {
 
-// Bounds of rule LOST in RULES.md, section "Jobs", for tasks that last.
+// The users ask that a lasting task runs again within these times.
 constexpr Milliseconds kMaxWithoutRun{3000};
 constexpr Milliseconds kCalmBefore{4000};
 constexpr Milliseconds kRestartTime{6000};
-// The rule asks for capacity twice over.
+// They ask for it where there is capacity twice over.
 constexpr std::size_t kMinWorkersWithRoom = 2;
 
 std::string TaskText(const std::string& job, int step, std::uint32_t index) {
