A rejected start is not proof that the run never began

Cause: a new agent process repeats the start calls that the leader orders. It does not know that an earlier process has started a run, or has sent a call that the worker may still carry out. When the worker rejected the repeated call (429), the agent reported the run as rejected; the leader released it and placed the task elsewhere while the worker ran it, and counted its room as free.

Change: a rejected start is reported as such only when no other call can have started the run. A run that the worker lists is taken as started; before the first list the call is repeated; and a run that an earlier process may have started is stopped first, until a list that was requested after the last call of that process can be carried out shows what the worker runs. Confirmed starts of an ended lease count as well. Event 1813 tells of such stops.

Before: WorkerAgent.ARunThatTheWorkerListsIsNotReportedAsRejected and ARunThatAnEarlierProcessMayStartIsStoppedWhenRejected fail on the code before. Changed set-up, same checks: six tests of rejections now let the agent process outlive the calls of an earlier one, which they took for granted.

--- a/src/libbase/events.cc
+++ b/src/libbase/events.cc
@@ -144,6 +144,9 @@
               "a worker crashed just after it began a run of this task"},
     EventInfo{kJobTaskCleared, "job-task-cleared", kInfo,
               "a worker survived a run of a suspected task"},
+    EventInfo{kJobStartInDoubt, "job-start-in-doubt", kInfo,
+              "a worker rejected a start that an earlier call may have carried "
+              "out; the run is stopped before it is reported as rejected"},
 };
 
 trivial::severity_level LevelOf(Severity severity) {
--- a/src/libbase/events.h
+++ b/src/libbase/events.h
@@ -66,6 +66,7 @@
   kJobWorkerCrashed = 1810,
   kJobTaskSuspected = 1811,
   kJobTaskCleared = 1812,
+  kJobStartInDoubt = 1813,
 };
 
 struct EventInfo {
--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -34,8 +34,10 @@
 
 WorkerAgent::WorkerAgent(WorkerAgentOptions options, TimePoint now)
     : options(std::move(options)),
-      // A previous agent process may have extended the worker's hold just
-      // before this one started.
+      // A previous agent process may have called the worker just before this
+      // one started.
+      earlier_calls_end(now + this->options.hold_duration +
+                        this->options.hold_margin),
       held_until(now + this->options.hold_duration) {}
 
 // --- The worker ---
@@ -89,7 +91,8 @@
 
 void WorkerAgent::ForgetOrders() {
   for (const auto& [name, start_state] : this->starts) {
-    if (start_state.call_open || start_state.maybe_started)
+    if (start_state.call_open || start_state.maybe_started ||
+        start_state.confirmed)
       this->maybe_started[name] = start_state.order.run();
   }
   this->starts.clear();
@@ -211,6 +214,8 @@
     if (start_state.order.run() != start.run())
       start_state = {};
     start_state.order = start;
+    if (!this->earlier_calls_settled)
+      start_state.maybe_started = true;
     const auto maybe_started = this->maybe_started.find(name);
     if (maybe_started != this->maybe_started.end()) {
       if (maybe_started->second == start.run())
@@ -466,20 +471,39 @@
     this->AddStop(call.order.task(), call.order.run(), now);
     this->starts.erase(found);
   }
-  if (outcome == CallOutcome::kRejected || give_up) {
-    const bool maybe_started = start_state.maybe_started;
+  if (give_up) {
+    // The worker may still execute an unanswered call; a stop prevents that run
+    // from starting.
     this->starts.erase(found);
-    if (maybe_started) {
-      // The worker may still execute an earlier, unanswered call; a stop
-      // prevents that run from starting.
-      this->AddStop(call.order.task(), call.order.run(), TimePoint());
-    } else {
-      this->AddRejection(call.order.task(), call.order.run());
-    }
+    this->AddStop(call.order.task(), call.order.run(), TimePoint());
   }
+  if (outcome == CallOutcome::kRejected)
+    this->OnStartRejected(name, now);
   this->IssueCalls(now);
 }
 
+// That the worker rejected one call does not show that no other call, of this
+// process or an earlier one, has started the run.
+void WorkerAgent::OnStartRejected(const std::string& name, TimePoint now) {
+  StartState& start_state = this->starts.at(name);
+  // The call is repeated until a list shows what the worker runs.
+  if (!this->has_list)
+    return;
+  const wire::StartOrder order = start_state.order;
+  if (this->ListedRunNumber(name) == order.run()) {
+    start_state.confirmed = true;
+    start_state.RecordBegun(now);
+    return;
+  }
+  if (start_state.maybe_started) {
+    this->doubtful_starts.push_back({.task = order.task(), .run = order.run()});
+    this->AddStop(order.task(), order.run(), TimePoint());
+  } else {
+    this->AddRejection(order.task(), order.run());
+  }
+  this->starts.erase(name);
+}
+
 void WorkerAgent::OnStopResult(const StopCall& call,
                                CallOutcome outcome,
                                TimePoint now) {
@@ -532,6 +556,9 @@
   this->has_list = true;
   this->list_is_current = true;
   this->ends_are_cut = listing.ended.size() >= kMaxListedEnds;
+  this->earlier_calls_settled =
+      this->earlier_calls_settled ||
+      (!this->ends_are_cut && this->watch_sent > this->earlier_calls_end);
   this->listed.clear();
   for (const ListedRun& run : listing.running) {
     const std::string name = TaskNameText(run.task);
@@ -711,6 +738,10 @@
   return found == this->listed.end() ? 0 : found->second.run;
 }
 
+std::vector<DoubtfulStart> WorkerAgent::TakeDoubtfulStarts() {
+  return std::exchange(this->doubtful_starts, {});
+}
+
 std::vector<AgentEffect> WorkerAgent::TakeEffects() {
   return std::exchange(this->effects, {});
 }
--- a/src/libjobs/worker_agent.h
+++ b/src/libjobs/worker_agent.h
@@ -126,6 +126,11 @@
 using AgentEffect =
     std::variant<StartCall, StopCall, WatchCall, ThrottleCall, SendReport>;
 
+struct DoubtfulStart {
+  wire::TaskName task;
+  std::uint32_t run = 0;
+};
+
 class WorkerAgent {
  public:
   WorkerAgent(WorkerAgentOptions options, TimePoint now);
@@ -145,6 +150,9 @@
   void OnTick(TimePoint now);
 
   std::vector<AgentEffect> TakeEffects();
+  /// Runs that are stopped since the last call of this function because the
+  /// worker rejected their start and an earlier call may have started them.
+  std::vector<DoubtfulStart> TakeDoubtfulStarts();
   bool HasLease(TimePoint now) const { return now < this->lease_end; }
   bool HasWorker() const { return this->worker.has_value(); }
   const std::optional<wire::JobWorkerDescription>& description() const {
@@ -161,7 +169,7 @@
     std::uint64_t call_number = 0;  // latest call; 0: none was issued
     bool call_open = false;
     bool confirmed = false;
-    bool maybe_started = false;  // an earlier call was not answered
+    bool maybe_started = false;  // an earlier call may have started it
     TimePoint call_sent;         // of the latest call
     // The run has begun by then; kNever: perhaps, and perhaps later. The epoch:
     // no call can have started it.
@@ -204,6 +212,7 @@
   void StopUnstartedRuns();
   void StopUnissuedRuns();
   void CountUnansweredStart(const StartCall& call, CallOutcome outcome);
+  void OnStartRejected(const std::string& name, TimePoint now);
   void IssueStartCalls(TimePoint now);
   void IssueStopCalls(TimePoint now);
   void IssueWatchCall(TimePoint now);
@@ -232,6 +241,10 @@
   std::map<std::string, StopState> stops;
   // Highest runs that calls under an expired lease may have started, by task.
   std::map<std::string, std::uint32_t> maybe_started;
+  // After this the worker executes no start call of an earlier process.
+  TimePoint earlier_calls_end;
+  // Whether a list requested after that shows what earlier processes started.
+  bool earlier_calls_settled = false;
   std::map<std::string, ListedRun> listed;
   std::vector<wire::TaskEnd> ended;             // listed, not yet acknowledged
   std::map<std::string, Rejection> rejections;  // by task name
@@ -262,6 +275,7 @@
   TimePoint next_report;
   BestEffortThrottler throttler;
   std::vector<AgentEffect> effects;
+  std::vector<DoubtfulStart> doubtful_starts;
 };
 
 }  // namespace savoryring
--- a/src/libjobs/worker_agent_test.cc
+++ b/src/libjobs/worker_agent_test.cc
@@ -104,6 +104,16 @@
   ListedRun Running(const std::string& job, std::uint32_t run) {
     return {.task = this->Name(job), .run = run};
   }
+  // After this, nothing that an earlier process of the agent has called is
+  // unknown to this one.
+  void OutliveCallsOfEarlierProcess() {
+    this->Announce();
+    this->DeliverOrders(this->Orders());
+    this->AnswerWatch({});
+    this->AdvanceTime(Milliseconds(4500));
+    this->AnswerWatch({});
+    this->AnswerWatch({});
+  }
 };
 
 TEST(WorkerAgent, StartsOnlyUnderALease) {
@@ -270,7 +280,7 @@
 }
 
 TEST(WorkerAgent, RejectedStartIsStoppedIfAnEarlierCallWasUnanswered) {
-  this->Announce();
+  this->OutliveCallsOfEarlierProcess();
   this->DeliverOrders(this->OrderStart("j", 1));
   this->agent.OnStartResult(this->starts[0], CallOutcome::kNoAnswer, this->now);
   this->AdvanceTime(Milliseconds(200));
@@ -286,6 +296,54 @@
   LONGS_EQUAL(1, this->reports.back().rejected_size());
 }
 
+// The agent's earlier process may have started the run.
+TEST(WorkerAgent, ARunThatTheWorkerListsIsNotReportedAsRejected) {
+  for (const bool listed_before : {false, true}) {
+    this->agent = WorkerAgent({.agent = "a"}, this->now);
+    this->starts.clear();
+    this->stops.clear();
+    this->watches.clear();
+    this->Announce();
+    if (listed_before) {
+      this->DeliverOrders(this->Orders());
+      this->AnswerWatch({.running = {this->Running("j", 1)}});
+    }
+    this->DeliverOrders(this->OrderStart("j", 1));
+    this->AnswerStart(0, CallOutcome::kRejected);
+    if (!listed_before)
+      this->AnswerWatch({.running = {this->Running("j", 1)}});
+    this->AdvanceTime(Milliseconds(200));
+    for (std::size_t call = 1; call < this->starts.size(); ++call)
+      this->AnswerStart(call, CallOutcome::kRejected);
+    this->AdvanceTime(Milliseconds(600));
+    LONGS_EQUAL(0, this->reports.back().rejected_size());
+    LONGS_EQUAL(0, this->stops.size());
+    LONGS_EQUAL(1, this->reports.back().runs_size());
+    CHECK(!this->reports.back().runs(0).pending());
+  }
+}
+
+// The worker may still execute a start call of the agent's earlier process.
+TEST(WorkerAgent, ARunThatAnEarlierProcessMayStartIsStoppedWhenRejected) {
+  this->Announce();
+  this->DeliverOrders(this->Orders());
+  this->AnswerWatch({});
+  this->DeliverOrders(this->OrderStart("j", 1));
+  this->AnswerStart(0, CallOutcome::kRejected);
+  this->AdvanceTime(Milliseconds(20));
+  LONGS_EQUAL(0, this->reports.back().rejected_size());
+  LONGS_EQUAL(1, this->stops.size());
+}
+
+TEST(WorkerAgent, ARunThatNoEarlierProcessCanStartIsRejectedAtOnce) {
+  this->OutliveCallsOfEarlierProcess();
+  this->DeliverOrders(this->OrderStart("j", 1));
+  this->AnswerStart(0, CallOutcome::kRejected);
+  this->AdvanceTime(Milliseconds(20));
+  LONGS_EQUAL(1, this->reports.back().rejected_size());
+  LONGS_EQUAL(0, this->stops.size());
+}
+
 TEST(WorkerAgent, StopOfANeverStartedRunIsReportedAsRejected) {
   this->Announce();
   this->DeliverOrders(this->OrderStop("j", 3));
@@ -303,7 +361,7 @@
 }
 
 TEST(WorkerAgent, ARejectionIsRepeatedUntilTheLeaderHasProcessedIt) {
-  this->Announce();
+  this->OutliveCallsOfEarlierProcess();
   this->DeliverOrders(this->OrderStart("j", 1));
   const wire::AgentOrders before = this->Orders();
   this->AdvanceTime(Milliseconds(10));
@@ -331,7 +389,7 @@
 
 // The leader may have assigned the run to another worker by then.
 TEST(WorkerAgent, AnOrderFromBeforeARejectionDoesNotStartTheRunAgain) {
-  this->Announce();
+  this->OutliveCallsOfEarlierProcess();
   this->DeliverOrders(this->OrderStart("j", 1));
   const wire::AgentOrders before = this->OrderStart("j", 1);
   this->AdvanceTime(Milliseconds(10));
@@ -343,7 +401,7 @@
 }
 
 TEST(WorkerAgent, ARepeatedRejectionDoesNotDelayAHigherRun) {
-  this->Announce();
+  this->OutliveCallsOfEarlierProcess();
   this->DeliverOrders(this->OrderStart("j", 1));
   this->AdvanceTime(Milliseconds(10));
   this->agent.OnStartResult(this->starts[0], CallOutcome::kRejected, this->now);
@@ -553,7 +611,8 @@
     this->agent = WorkerAgent({.agent = "a"}, this->now);
     this->starts.clear();
     this->stops.clear();
-    this->Announce();
+    this->watches.clear();
+    this->OutliveCallsOfEarlierProcess();
     this->DeliverOrders(this->OrderStart("j", 1));
     if (answered)
       this->AnswerStart(0, CallOutcome::kNoAnswer);
@@ -567,7 +626,7 @@
 }
 
 TEST(WorkerAgent, ARunThatNoCallOfAnEndedLeaseStartsIsRejectedAtOnce) {
-  this->Announce();
+  this->OutliveCallsOfEarlierProcess();
   this->DeliverOrders(this->OrderStart("j", 1));
   this->AnswerStart(0, CallOutcome::kNoAnswer);
   this->now += Milliseconds(6100);
--- a/src/savoryringd/agent_duty.cc
+++ b/src/savoryringd/agent_duty.cc
@@ -115,6 +115,10 @@
 }
 
 void AgentDuty::RunEffects(TimePoint now) {
+  for (const DoubtfulStart& start : this->core.TakeDoubtfulStarts()) {
+    LogEvent(Event::kJobStartInDoubt, {{"task", TaskNameText(start.task)},
+                                       {"run", std::to_string(start.run)}});
+  }
   for (AgentEffect& effect : this->core.TakeEffects()) {
     if (auto* report = std::get_if<SendReport>(&effect)) {
       this->SendAgentReport(std::move(*report), now);
--- a/testsuite/schedule/job_schedule_test.cc
+++ b/testsuite/schedule/job_schedule_test.cc
@@ -156,6 +156,14 @@
                      .short_job = Milliseconds(400)});
 }
 
+TEST(JobSchedule, RunsThatANewAgentProcessStartsAgainAreNotTakenForRejected) {
+  ExpectNoViolation(3,
+                    {.kill_agent = Milliseconds(2000),
+                     .ignore_starts = Milliseconds(4000),
+                     .reject_starts = Milliseconds(1500)},
+                    12, {.short_job = Milliseconds(400)});
+}
+
 TEST(JobSchedule, LastingTasksRunInCalmStretchesBetweenFaults) {
   ExpectNoViolation(3, LastingTaskFaults(), 6, {.first_lasting_jobs = 12});
 }
