An agent ignores orders that newer ones have overtaken

What callers saw: nothing reported. Cause: an agent ignores a start that it has rejected only until the leader has processed the rejection. Orders from before that, still within their lease, then start the run, which the leader has released. Ruled out: the check of run numbers in the table (on). A rejection that is not true: the start of run 9 had really been rejected. By reading, one connection to a control keeps the order of its messages, so that this needs a replaced connection, or orders for an earlier process of the agent. Change: orders that answer an earlier report than other orders did, or a report from before this process, give nothing but their token and what they say of crashes. Nor do orders that answer a report from the future (a process before the VM restarted): they would make all later ones look overtaken.

--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -38,7 +38,8 @@
       // one started.
       earlier_calls_end(now + this->options.hold_duration +
                         this->options.hold_margin),
-      held_until(now + this->options.hold_duration) {}
+      held_until(now + this->options.hold_duration),
+      answered_report_ns(ToNanoseconds(now)) {}
 
 // --- The worker ---
 
@@ -174,6 +175,13 @@
   this->token = orders.term();
   if (this->crash && orders.counted_crash_ms() >= this->crash->born_ms())
     this->crash.reset();
+  // Overtaken orders, and orders for an earlier process, may start runs whose
+  // rejection the leader has processed since. That process may have run before
+  // the VM restarted, when its clock was ahead.
+  if (orders.echoed_ns() < this->answered_report_ns ||
+      orders.echoed_ns() > ToNanoseconds(now))
+    return;
+  this->answered_report_ns = orders.echoed_ns();
   // Skips orders that answer the latest `worker_gone` report or an earlier one:
   // on that report the leader may have released the worker's runs.
   if (orders.echoed_ns() <= this->last_gone_report_ns)
--- a/src/libjobs/worker_agent.h
+++ b/src/libjobs/worker_agent.h
@@ -271,6 +271,8 @@
   bool replaced = false;  // another incarnation answered a call
   // Time of the latest report with `worker_gone` set.
   std::uint64_t last_gone_report_ns = 0;
+  // Time of the latest report that orders have answered.
+  std::uint64_t answered_report_ns;
   bool report_pending = false;  // send a report at the next tick
   TimePoint next_report;
   BestEffortThrottler throttler;
--- a/src/libjobs/worker_agent_test.cc
+++ b/src/libjobs/worker_agent_test.cc
@@ -400,6 +400,34 @@
   LONGS_EQUAL(1, this->starts.size());
 }
 
+TEST(WorkerAgent, OvertakenOrdersDoNotStartARejectedRun) {
+  this->OutliveCallsOfEarlierProcess();
+  const wire::AgentOrders overtaken = this->OrderStart("j", 1);
+  this->DeliverOrders(overtaken);
+  this->AdvanceTime(Milliseconds(10));
+  this->AnswerStart(0, CallOutcome::kRejected);
+  this->AdvanceTime(Milliseconds(20));
+  LONGS_EQUAL(1, this->reports.back().rejected_size());
+  this->DeliverOrders(this->Orders());
+  this->DeliverOrders(overtaken);
+  this->AdvanceTime(Milliseconds(200));
+  LONGS_EQUAL(1, this->starts.size());
+}
+
+TEST(WorkerAgent, OrdersThatAnswerAnEarlierProcessStartNothing) {
+  const wire::AgentOrders earlier = this->OrderStart("j", 1);
+  this->now += Milliseconds(1000);
+  this->agent = WorkerAgent({.agent = "a"}, this->now);
+  this->Announce();
+  this->DeliverOrders(earlier);
+  wire::AgentOrders before_vm_restart = this->OrderStart("j", 1);
+  before_vm_restart.set_echoed_ns(ToNanoseconds(this->now) + 1);
+  this->DeliverOrders(before_vm_restart);
+  LONGS_EQUAL(0, this->starts.size());
+  this->DeliverOrders(this->OrderStart("j", 1));
+  LONGS_EQUAL(1, this->starts.size());
+}
+
 TEST(WorkerAgent, ARepeatedRejectionDoesNotDelayAHigherRun) {
   this->OutliveCallsOfEarlierProcess();
   this->DeliverOrders(this->OrderStart("j", 1));
--- a/testsuite/schedule/fault_driver.cc
+++ b/testsuite/schedule/fault_driver.cc
@@ -69,6 +69,13 @@
           .network = {.in_order = true}};
 }
 
+FaultPlan RejectedStartsOnUnorderedLinks() {
+  return {.reject_starts = Milliseconds(1000),
+          .network = {.duplicate_rate = 0.2,
+                      .max_delay = Milliseconds(30),
+                      .long_delay_rate = 0.05}};
+}
+
 FaultPlan LastingTaskFaults() {
   return {.kill_control = Milliseconds(30'000),
           .freeze = Milliseconds(30'000),
--- a/testsuite/schedule/fault_driver.h
+++ b/testsuite/schedule/fault_driver.h
@@ -52,6 +52,10 @@
 /// messages of each connection arrive in order.
 FaultPlan LeaderFaultsOnOrderedLinks();
 
+/// Workers that reject starts for some seconds, while messages are duplicated
+/// and overtake each other.
+FaultPlan RejectedStartsOnUnorderedLinks();
+
 /// Faults without loss of messages, so seldom that calm stretches lie between
 /// them, beside draining workers.
 FaultPlan LastingTaskFaults();
--- a/testsuite/schedule/job_schedule_test.cc
+++ b/testsuite/schedule/job_schedule_test.cc
@@ -164,6 +164,14 @@
                     12, {.short_job = Milliseconds(400)});
 }
 
+TEST(JobSchedule, OvertakenOrdersDoNotStartRejectedRuns) {
+  ExpectNoViolation(3, RejectedStartsOnUnorderedLinks(), 12,
+                    {.mixed_job = Milliseconds(0),
+                     .cancellation = Milliseconds(0),
+                     .short_job = Milliseconds(200)},
+                    2);
+}
+
 TEST(JobSchedule, LastingTasksRunInCalmStretchesBetweenFaults) {
   ExpectNoViolation(3, LastingTaskFaults(), 6, {.first_lasting_jobs = 12});
 }
