JobMutation.EndsOfEarlierRuns finds a repeated rejection

Cause: AllJobFaults has no worker that rejects starts, and hardly a message that comes twice. With them the end of an earlier run does reach the table after the next one began: an agent repeats a rejection (end number 0) in each report until orders answer it, and the leader proposes it each time (JobScheduler::AddNewEnds). Ruled out: that the mended rejection closes the path: found on it too.

--- a/testsuite/schedule/job_mutation_test.cc
+++ b/testsuite/schedule/job_mutation_test.cc
@@ -15,17 +15,19 @@
 
 bool FindsJobViolation(const Mutations& mutations,
                        const std::string& expected,
-                       const FaultPlan& plan = AllJobFaults()) {
+                       const FaultPlan& plan = AllJobFaults(),
+                       const JobLoad& load = {},
+                       int agents = 4) {
   return FindsViolation(expected, [&](std::uint64_t seed) {
     JobSchedule schedule({.seed = seed,
                           .controls = 3,
                           .vms = 0,
                           .entries = 0,
-                          .agents = 4,
+                          .agents = agents,
                           .gateways = 2,
                           .open_membership = true,
                           .mutations = mutations},
-                         plan);
+                         plan, load);
     schedule.Run(kLength);
   });
 }
@@ -53,9 +55,14 @@
   CHECK(FindsJobViolation({.job_scheduler = {.give_up_early = true}}, "twice"));
 }
 
+// A repeated rejection arrives when the next run has begun on that worker.
 TEST(JobMutation, EndsOfEarlierRuns) {
   CHECK(FindsJobViolation({.control = {.jobs = {.ignore_run_numbers = true}}},
-                          "capacity"));
+                          "capacity", RejectedStartsOnUnorderedLinks(),
+                          {.mixed_job = Milliseconds(0),
+                           .cancellation = Milliseconds(0),
+                           .short_job = Milliseconds(200)},
+                          2));
 }
 
 // The end of an earlier run reaches the table after the next run has started if
