A task whose workers are lost in a row is placed again only after a delay

A repeatable task or a monitor of the estate that takes its VM down was placed on the next VM at once, without a limit.

Cause: a run that was lost with its worker counted nowhere. No process outlives the VM that could tell the task at fault from those lost with it.

Change: the table counts the losses of a task in a row (lost_runs). After the first it is placed at once, as after the loss of a rack. From the second on it waits 5 s, twice as long after each further loss, at most an hour, and is then placed on a worker without another such task, or after 30 s more on any. A new checkpoint, a run of 60 s (new command ProveTask), its end, a changed specification or an operator's decision clears the count. No task is given up. `explain` says what it waits for, event 1707 names it.

Compatibility: a new field and a new command; an older build ignores both, and the count changes only what the leader proposes, never whether a command applies. A new leader begins a delay anew.

The two tests of the count use the new fields and do not compile before.

Ruled out: to park such tasks, as replicas of the older build would resume them when a worker registers; and to tell the loss of a zone by time, as losses are declared one by one.

Conclusion: a task that takes down each of its workers is started nine times at most in ten minutes, and then at most once an hour. One that runs for 60 s before, or stores a new checkpoint each time, is not limited.

--- a/src/libbase/events.cc
+++ b/src/libbase/events.cc
@@ -118,6 +118,9 @@
         "the worker's lease was not renewed in time; its tasks are stopped"},
     EventInfo{kWorkerUnreachable, "worker-unreachable", kWarning,
               "the worker on this VM does not answer"},
+    EventInfo{kTaskLostRepeatedly, "task-lost-repeatedly", kWarning,
+              "workers that ran a task were lost in a row; it is placed again "
+              "after a delay"},
     EventInfo{kJobAccepted, "job-accepted", kInfo,
               "a job is stored and will run"},
     EventInfo{kJobEnded, "job-ended", kInfo,
--- a/src/libbase/events.h
+++ b/src/libbase/events.h
@@ -54,6 +54,7 @@
   kTaskEvicted = 1704,
   kLeaseEnded = 1705,
   kWorkerUnreachable = 1706,
+  kTaskLostRepeatedly = 1707,
   kJobAccepted = 1801,
   kJobEnded = 1802,
   kJobRunStarted = 1803,
--- a/src/libcontrol/control_api.cc
+++ b/src/libcontrol/control_api.cc
@@ -140,6 +140,7 @@
                 {"worker", task.worker()},
                 {"checkpoint", task.checkpoint()},
                 {"evictions", task.evictions()},
+                {"lost_runs", task.lost_runs()},
                 {"share", task.share()}};
   if (task.state() == wire::TASK_STATE_ASSIGNED) {
     document["running"] = view.scheduler.watch().IsRunning(
--- a/src/libcontrol/control_core.cc
+++ b/src/libcontrol/control_core.cc
@@ -396,6 +396,13 @@
   if (after != before)
     this->ReportEvent(Event::kEstateApplied,
                       "revision " + std::to_string(after));
+  for (const std::string& id : this->control_state.TakeRepeatedlyLostTasks()) {
+    this->ReportEvent(
+        Event::kTaskLostRepeatedly,
+        id + ": " +
+            std::to_string(this->control_state.FindTask(id)->lost_runs()) +
+            " losses in a row without progress");
+  }
   if (result.code == ResultCode::kOk)
     this->ReportCommandEvents(command);
 }
--- a/src/libplacement/control_state.cc
+++ b/src/libplacement/control_state.cc
@@ -56,6 +56,8 @@
       return {};
     case wire::Command::kDecideTask:
       return this->ApplyDecideTask(command.decide_task());
+    case wire::Command::kProveTask:
+      return this->ApplyProveTask(command.prove_task());
     case wire::Command::kJobCommand:
       return {.code = this->job_table.Apply(command.job_command()).code};
     case wire::Command::BODY_NOT_SET:
@@ -166,6 +168,7 @@
 // already ended; a parked task is tried again.
 void ControlState::RescheduleForRevision(wire::TaskRecord& task) {
   task.clear_failed_workers();
+  task.clear_lost_runs();
   task.clear_parked_why();
   if (task.state() == wire::TASK_STATE_FINISHED)
     task.clear_checkpoint();
@@ -250,12 +253,20 @@
         lost_worker + " was lost or lost the task, which is not repeatable");
     return;
   }
+  task.set_lost_runs(task.lost_runs() + 1);
   if (task.has_next_spec()) {
     *task.mutable_spec() = task.next_spec();
     task.clear_next_spec();
+    task.clear_lost_runs();
+  }
+  std::string reason = lost_worker + " was lost or lost the task";
+  if (IsSuspect(task)) {
+    reason += ", loss " + std::to_string(task.lost_runs()) +
+              " in a row without progress";
+    this->repeatedly_lost_tasks.insert(task.id());
   }
   this->SetState(task, wire::TASK_STATE_PENDING);
-  this->AddStep(task, "pending", lost_worker + " was lost or lost the task");
+  this->AddStep(task, "pending", reason);
 }
 
 ApplyResult ControlState::ApplyDrainWorker(const wire::DrainWorker& command) {
@@ -362,6 +373,10 @@
   return std::exchange(this->changed_workers, {});
 }
 
+std::set<std::string> ControlState::TakeRepeatedlyLostTasks() {
+  return std::exchange(this->repeatedly_lost_tasks, {});
+}
+
 const wire::TaskRecord* ControlState::FindTask(const std::string& id) const {
   const auto found = this->task_records.find(id);
   return found == this->task_records.end() ? nullptr : &found->second;
--- a/src/libplacement/control_state.h
+++ b/src/libplacement/control_state.h
@@ -70,6 +70,9 @@
   Resources TeamUsage(const std::string& team) const;
   /// Returns the workers whose orders have changed since the last call.
   std::set<std::string> TakeChangedWorkers();
+  /// Returns the tasks that were lost repeatedly, at least once since the last
+  /// call.
+  std::set<std::string> TakeRepeatedlyLostTasks();
   /// The orders currently in force for a worker.
   std::vector<wire::TaskOrder> OrdersFor(const std::string& worker) const;
 
@@ -85,6 +88,7 @@
   ApplyResult ApplyReportTasks(const wire::ReportTasks& command);
   ApplyResult ApplyParkTask(const wire::ParkTask& command);
   ApplyResult ApplyDecideTask(const wire::DecideTask& command);
+  ApplyResult ApplyProveTask(const wire::ProveTask& command);
   ApplyResult ApplyDrainWorker(const wire::DrainWorker& command);
 
   void RescheduleParked(const Resources& capacity);
@@ -126,6 +130,7 @@
   std::set<PendingKey> pending_tasks;
   std::set<std::string> parked_tasks;
   std::set<std::string> changed_workers;
+  std::set<std::string> repeatedly_lost_tasks;
   std::map<std::string, Resources> usage_by_team;
   // Submitted (not estate) tasks that have ended, by sequence.
   std::map<std::uint64_t, std::string> ended_tasks;
--- a/src/libplacement/control_state_test.cc
+++ b/src/libplacement/control_state_test.cc
@@ -132,6 +132,47 @@
   STRCMP_EQUAL("9", this->state.FindTask(not_repeatable)->checkpoint().c_str());
 }
 
+TEST(ControlState, LossesInARowCountUntilTheTaskMakesProgress) {
+  const std::string task = this->Submit("a", true);
+  const auto losses_after = [&](const std::string& checkpoint) {
+    this->Register("w", 4);
+    this->Assign(task, "w");
+    const std::uint64_t epoch = this->state.FindTask(task)->epoch();
+    if (!checkpoint.empty())
+      this->Report(task, "w", epoch, wire::TASK_RUNNING, checkpoint);
+    this->Lose("w");
+    return this->state.FindTask(task)->lost_runs();
+  };
+  CHECK_EQUAL(1, losses_after(""));
+  CHECK_EQUAL(2, losses_after(""));
+  CHECK(this->state.TakeRepeatedlyLostTasks().contains(task));
+  CHECK(this->state.TakeRepeatedlyLostTasks().empty());
+  CHECK_EQUAL(1, losses_after("5"));
+  // It was resumed from there.
+  CHECK_EQUAL(2, losses_after("5"));
+  CHECK(this->StateOf(task) == wire::TASK_STATE_PENDING);
+}
+
+TEST(ControlState, ARunThatLastedClearsTheLossesOfItsTask) {
+  const std::string task = this->Submit("a", true);
+  const auto prove = [&](std::uint64_t epoch) {
+    wire::Command command;
+    command.mutable_prove_task()->set_task(task);
+    command.mutable_prove_task()->set_epoch(epoch);
+    return this->Apply(command).code;
+  };
+  this->Register("w", 4);
+  this->Assign(task, "w");
+  this->Lose("w");
+  CHECK(prove(1) == ResultCode::kUnknownTask);
+  this->Register("w", 4);
+  this->Assign(task, "w");
+  CHECK(prove(1) == ResultCode::kUnknownTask);
+  CHECK_EQUAL(1, this->state.FindTask(task)->lost_runs());
+  CHECK(prove(2) == ResultCode::kOk);
+  CHECK_EQUAL(0, this->state.FindTask(task)->lost_runs());
+}
+
 TEST(ControlState, AnOperatorDecidesOnWorkWhoseOutcomeIsUnknown) {
   this->Register("w", 8);
   const std::string task = this->Submit("a", false);
@@ -189,6 +230,17 @@
   CHECK(restored.TeamUsage("steel") == this->state.TeamUsage("steel"));
 }
 
+// As an older build sees the commands that were added since.
+TEST(ControlState, ACommandOfANewerBuildChangesNothing) {
+  this->Submit("a", true);
+  const std::string before = this->state.Save().SerializeAsString();
+  wire::Command command;
+  constexpr char kFieldOfANewerBuild[] = "\xba\x3e\x01x";
+  CHECK(command.ParseFromString(kFieldOfANewerBuild));
+  CHECK(this->Apply(command).code == ResultCode::kOk);
+  STRCMP_EQUAL(before.c_str(), this->state.Save().SerializeAsString().c_str());
+}
+
 TEST_GROUP(ClaimTable) {
   ClaimTable table;
 
--- a/src/libplacement/scheduler.cc
+++ b/src/libplacement/scheduler.cc
@@ -21,6 +21,18 @@
 constexpr Milliseconds kInitialRetryDelay{200};
 constexpr int kMaxBackoffDoublings = 7;
 constexpr Milliseconds kFailureResetInterval{60'000};
+// A task that takes its worker down does so mostly soon after it starts. One
+// whose run has lasted this long is no longer suspected.
+constexpr Milliseconds kSoundRunTime{60'000};
+// Delay before a suspect is placed again. It doubles with each further loss, so
+// that a task that takes down each of its workers costs at most one an hour.
+constexpr Milliseconds kInitialLossDelay{5000};
+constexpr Milliseconds kMaxLossDelay{3'600'000};
+constexpr std::uint32_t kMaxLossDoublings = 10;
+// How long a suspect waits for a worker without another one, so that the sound
+// ones among them are not lost again with the one at fault. After the loss of
+// zones in a row all suspects may be sound and outnumber the workers.
+constexpr Milliseconds kMaxApartWait{30'000};
 // Minimum time between two preemptions for the same urgent task.
 constexpr Milliseconds kPreemptionInterval{1500};
 
@@ -77,6 +89,8 @@
     const bool is_late = task != nullptr && IsLateReport(*task, report);
     if (is_current)
       this->UpdateBackoff(*task, report.state(), now);
+    if (is_current && report.state() == wire::TASK_RUNNING)
+      this->ProveIfSound(*task, now, commands);
     if ((is_current && has_change) || is_late)
       *reports.add_reports() = report;
   }
@@ -113,6 +127,52 @@
   backoff.failures += 1;
 }
 
+void Scheduler::ProveIfSound(const wire::TaskRecord& task,
+                             TimePoint now,
+                             std::vector<wire::Command>& commands) {
+  if (task.lost_runs() == 0)
+    return;
+  Trial& trial = this->trials[task.id()];
+  if (trial.epoch != task.epoch())
+    trial = {.epoch = task.epoch(), .proven_time = now + kSoundRunTime};
+  if (now < trial.proven_time)
+    return;
+  wire::ProveTask* command = commands.emplace_back().mutable_prove_task();
+  command->set_task(task.id());
+  command->set_epoch(task.epoch());
+}
+
+void Scheduler::ForgetOldLosses(const ControlState& state) {
+  std::erase_if(this->trials, [&state](const auto& item) {
+    const wire::TaskRecord* task = state.FindTask(item.first);
+    return task == nullptr || task->lost_runs() == 0 ||
+           task->epoch() != item.second.epoch;
+  });
+  std::erase_if(this->loss_delays, [&state](const auto& item) {
+    const wire::TaskRecord* task = state.FindTask(item.first);
+    return task == nullptr || task->lost_runs() != item.second.lost_runs;
+  });
+}
+
+// A new leader begins the delay anew, as only the count is replicated.
+void Scheduler::UpdateLossDelay(const wire::TaskRecord& task, TimePoint now) {
+  if (!IsSuspect(task) || this->loss_delays.contains(task.id()))
+    return;
+  const std::uint32_t doublings =
+      std::min(task.lost_runs() - kMinLossesOfSuspect, kMaxLossDoublings);
+  const Milliseconds delay =
+      std::min(kInitialLossDelay * (1U << doublings), kMaxLossDelay);
+  this->loss_delays[task.id()] = {.lost_runs = task.lost_runs(),
+                                  .retry_time = now + delay,
+                                  .apart_until = now + delay + kMaxApartWait};
+}
+
+bool Scheduler::MustRunApart(const wire::TaskRecord& task,
+                             TimePoint now) const {
+  const auto found = this->loss_delays.find(task.id());
+  return found != this->loss_delays.end() && now < found->second.apart_until;
+}
+
 bool Scheduler::MayGrantLease(const ControlState& state,
                               const std::string& worker,
                               std::uint64_t incarnation) const {
@@ -154,6 +214,7 @@
                                    TimePoint now,
                                    std::vector<wire::Command>& commands) {
   this->pending_reasons.clear();
+  this->ForgetOldLosses(state);
   if (state.pending().empty()) {
     this->next_preemption_times.clear();
     return;
@@ -180,6 +241,7 @@
                           AssignmentRound& round,
                           std::vector<wire::Command>& commands) {
   std::string& reason = this->pending_reasons[task.id()];
+  this->UpdateLossDelay(task, now);
   reason = this->NotReadyReason(state, task, now);
   if (!reason.empty())
     return;
@@ -191,7 +253,14 @@
     reason = "the quota of team " + team + " is used up";
     return;
   }
-  Candidate* chosen = this->ChooseWorker(state, task, round);
+  const bool apart = this->MustRunApart(task, now);
+  Candidate* chosen = this->ChooseWorker(state, task, apart, round);
+  if (chosen == nullptr && apart) {
+    reason = "its workers were lost " + std::to_string(task.lost_runs()) +
+             " times in a row; it waits for one with room and without another "
+             "such task";
+    return;
+  }
   if (chosen == nullptr) {
     reason = "no live worker has room for it";
     this->ParkIfUnplaceable(state, task, now, commands);
@@ -203,6 +272,7 @@
   chosen->free = SaturatingDifference(chosen->free, ResourcesOf(task.spec()));
   chosen->pressure[InterferenceClassOf(task.spec())] +=
       task.spec().processors();
+  chosen->has_suspect = chosen->has_suspect || IsSuspect(task);
   round.assigned_by_team[team] += ResourcesOf(task.spec());
   wire::Assignment* assignment = round.command.add_assignments();
   assignment->set_task(task.id());
@@ -225,6 +295,14 @@
                RemainingTime(now, backoff->second.retry_time).count()) +
            " ms";
   }
+  const auto delay = this->loss_delays.find(task.id());
+  if (delay != this->loss_delays.end() && now < delay->second.retry_time) {
+    return "its workers were lost " + std::to_string(task.lost_runs()) +
+           " times in a row without progress of it; it is tried again in " +
+           std::to_string(
+               RemainingTime(now, delay->second.retry_time).count()) +
+           " ms";
+  }
   for (const std::string& dependency : task.spec().depends_on()) {
     if (!this->IsDependencyReady(state, dependency, now))
       return "it waits for " + dependency;
@@ -263,7 +341,11 @@
         .worker = &worker,
         .live = live,
         .free = SaturatingDifference(worker.capacity, worker.committed),
-        .pressure = PressureOn(worker, state)};
+        .pressure = PressureOn(worker, state),
+        .has_suspect = std::ranges::any_of(
+            worker.tasks, [&state](const std::string& task) {
+              return IsSuspect(*state.FindTask(task));
+            })};
     double used_processors = 0;
     for (const auto& [task, usage] : live->usage)
       used_processors += usage.processors();
@@ -280,6 +362,7 @@
 // grow with the estate.
 Scheduler::Candidate* Scheduler::ChooseWorker(const ControlState& state,
                                               const wire::TaskRecord& task,
+                                              bool apart_from_suspects,
                                               AssignmentRound& round) {
   const Resources need = ResourcesOf(task.spec());
   const std::size_t count = round.candidates.size();
@@ -291,7 +374,8 @@
                                 : this->candidate_offset % count;
   for (std::size_t step = 0; step < count; ++step) {
     Candidate& candidate = round.candidates[(start + step) % count];
-    if (!need.FitsIn(candidate.free))
+    if (!need.FitsIn(candidate.free) ||
+        (apart_from_suspects && candidate.has_suspect))
       continue;
     const std::string& id = candidate.worker->record.description().id();
     const bool failed_on_worker =
--- a/src/libplacement/scheduler.h
+++ b/src/libplacement/scheduler.h
@@ -65,6 +65,7 @@
     Resources free;
     Pressure pressure;
     double measured_utilization = 0;  // measured processors in use / capacity
+    bool has_suspect = false;         // see IsSuspect
   };
   // State of one pass over the pending tasks.
   struct AssignmentRound {
@@ -80,6 +81,24 @@
     TimePoint retry_time;
   };
 
+  // Limits how often a suspect is placed.
+  struct LossDelay {
+    std::uint32_t lost_runs = 0;  // counted when the delay began
+    TimePoint retry_time;
+    TimePoint apart_until;  // not placed beside another suspect before this
+  };
+  // A run of a task that was lost before.
+  struct Trial {
+    std::uint64_t epoch = 0;
+    TimePoint proven_time;  // the task is sound if the run lasts until then
+  };
+
+  void ProveIfSound(const wire::TaskRecord& task,
+                    TimePoint now,
+                    std::vector<wire::Command>& commands);
+  void ForgetOldLosses(const ControlState& state);
+  void UpdateLossDelay(const wire::TaskRecord& task, TimePoint now);
+  bool MustRunApart(const wire::TaskRecord& task, TimePoint now) const;
   void UpdateBackoff(const wire::TaskRecord& task,
                      wire::TaskRunState run_state,
                      TimePoint now);
@@ -102,6 +121,7 @@
                          TimePoint now) const;
   Candidate* ChooseWorker(const ControlState& state,
                           const wire::TaskRecord& task,
+                          bool apart_from_suspects,
                           AssignmentRound& round);
   double PlacementCost(const ControlState& state,
                        const wire::TaskRecord& task,
@@ -124,6 +144,8 @@
   std::size_t candidate_offset = 0;  // start of the next ChooseWorker scan
   std::map<std::string, TimePoint> next_preemption_times;  // by urgent task id
   std::map<std::string, Backoff> backoffs;                 // by task id
+  std::map<std::string, LossDelay> loss_delays;            // by task id
+  std::map<std::string, Trial> trials;                     // by task id
   TimePoint earliest_parking_time;
   std::map<std::string, std::string> pending_reasons;  // by task id
 };
--- a/src/libplacement/task_lifecycle.cc
+++ b/src/libplacement/task_lifecycle.cc
@@ -123,6 +123,11 @@
                        task.epoch() == report.epoch();
   if (!current && !this->mutations.ignore_epochs)
     return;
+  const bool has_progressed = report.state() == wire::TASK_FINISHED ||
+                              (!report.checkpoint().empty() &&
+                               report.checkpoint() != task.checkpoint());
+  if (has_progressed)
+    task.clear_lost_runs();
   if (!report.checkpoint().empty())
     task.set_checkpoint(report.checkpoint());
   if (report.state() == wire::TASK_RUNNING)
@@ -208,6 +213,7 @@
   if (task.has_next_spec()) {
     *task.mutable_spec() = task.next_spec();
     task.clear_next_spec();
+    task.clear_lost_runs();
   }
   this->SetState(task, wire::TASK_STATE_PENDING);
   this->AddStep(task, "pending",
@@ -227,6 +233,7 @@
   wire::TaskRecord& task = found->second;
   this->ended_tasks.erase(task.sequence());
   task.clear_failed_workers();
+  task.clear_lost_runs();
   task.clear_parked_why();
   this->SetState(task, command.resume() ? wire::TASK_STATE_PENDING
                                         : wire::TASK_STATE_FINISHED);
@@ -235,6 +242,16 @@
   return {.task = command.task()};
 }
 
+ApplyResult ControlState::ApplyProveTask(const wire::ProveTask& command) {
+  const auto found = this->task_records.find(command.task());
+  if (found == this->task_records.end() ||
+      !HoldsWorker(found->second.state()) ||
+      found->second.epoch() != command.epoch())
+    return {.code = ResultCode::kUnknownTask};
+  found->second.clear_lost_runs();
+  return {};
+}
+
 ApplyResult ControlState::ApplyParkTask(const wire::ParkTask& command) {
   const auto found = this->task_records.find(command.task());
   if (found == this->task_records.end() ||
--- a/src/libplacement/task_rules.cc
+++ b/src/libplacement/task_rules.cc
@@ -38,6 +38,10 @@
           .task = task.id()};
 }
 
+bool IsSuspect(const wire::TaskRecord& task) {
+  return task.lost_runs() >= kMinLossesOfSuspect;
+}
+
 bool IsFinalStop(wire::StopCause cause) {
   return cause == wire::STOP_CAUSE_CANCELLED ||
          cause == wire::STOP_CAUSE_REMOVED;
--- a/src/libplacement/task_rules.h
+++ b/src/libplacement/task_rules.h
@@ -13,6 +13,10 @@
 /// Number of distinct workers on which a task must fail before it is parked.
 inline constexpr int kMaxFailedWorkers = 3;
 
+/// Losses in a row from which a task is suspected of taking its workers down.
+/// After a single loss, as of a rack or a zone, tasks are placed at once.
+inline constexpr std::uint32_t kMinLossesOfSuspect = 2;
+
 /// Sort key of pending tasks: urgent tasks first, then by sequence.
 struct PendingKey {
   bool not_urgent = false;
@@ -40,6 +44,9 @@
 /// Whether the task is cancelled, rather than resumed, after a stop for this
 /// cause.
 bool IsFinalStop(wire::StopCause cause);
+/// Whether workers that ran the task were lost repeatedly without progress of
+/// the task.
+bool IsSuspect(const wire::TaskRecord& task);
 bool SameSpec(const wire::TaskSpec& a, const wire::TaskSpec& b);
 /// Whether a running task must be restarted to change from specification `a` to
 /// `b`. Other changes are applied in place.
