--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -36,8 +36,8 @@
     : options(std::move(options)),
       // A previous agent process may have called the worker just before this
       // one started.
-      earlier_calls_end(now + this->options.hold_duration +
-                        this->options.hold_margin),
+      predecessor_calls_end(now + this->options.hold_duration +
+                            this->options.hold_margin),
       held_until(now + this->options.hold_duration),
       answered_report_ns(ToNanoseconds(now)) {}
 
@@ -94,7 +94,13 @@
   for (const auto& [name, start_state] : this->starts) {
     if (start_state.call_open || start_state.maybe_started ||
         start_state.confirmed)
-      this->maybe_started[name] = start_state.order.run();
+      this->doubtful_runs[name] = start_state.order.run();
+  }
+  for (const auto& [name, stop_state] : this->stops) {
+    if (stop_state.confirmed_at != TimePoint())
+      continue;
+    std::uint32_t& run = this->doubtful_runs[name];
+    run = std::max(run, stop_state.run);
   }
   this->starts.clear();
   this->stops.clear();
@@ -111,7 +117,7 @@
 
 void WorkerAgent::ForgetWorker() {
   this->ForgetOrders();
-  this->maybe_started.clear();
+  this->doubtful_runs.clear();
   this->listed.clear();
   this->ended.clear();
   this->rejections.clear();
@@ -222,13 +228,13 @@
     if (start_state.order.run() != start.run())
       start_state = {};
     start_state.order = start;
-    if (!this->earlier_calls_settled)
+    if (!this->predecessor_runs_listed)
       start_state.maybe_started = true;
-    const auto maybe_started = this->maybe_started.find(name);
-    if (maybe_started != this->maybe_started.end()) {
-      if (maybe_started->second == start.run())
+    const auto doubtful = this->doubtful_runs.find(name);
+    if (doubtful != this->doubtful_runs.end()) {
+      if (doubtful->second == start.run())
         start_state.maybe_started = true;
-      this->maybe_started.erase(maybe_started);
+      this->doubtful_runs.erase(doubtful);
     }
   }
   for (const wire::StopOrder& stop : orders.stops()) {
@@ -490,13 +496,16 @@
   this->IssueCalls(now);
 }
 
-// That the worker rejected one call does not show that no other call, of this
-// process or an earlier one, has started the run.
+// A rejection says nothing about other calls, of this process or an earlier
+// one. A run that one of them may have started is kept if the worker lists it,
+// and stopped otherwise; before the first list it waits. Only a run that no
+// call can have started is reported as rejected.
 void WorkerAgent::OnStartRejected(const std::string& name, TimePoint now) {
   StartState& start_state = this->starts.at(name);
-  // The call is repeated until a list shows what the worker runs.
-  if (!this->has_list)
+  if (start_state.maybe_started && !this->has_list) {
+    start_state.next_attempt = kNever;
     return;
+  }
   const wire::StartOrder order = start_state.order;
   if (this->ListedRunNumber(name) == order.run()) {
     start_state.confirmed = true;
@@ -561,12 +570,15 @@
     return;
   }
   this->next_watch = now + kWatchInterval;
-  this->has_list = true;
+  if (!std::exchange(this->has_list, true)) {
+    for (auto& [name, start_state] : this->starts)
+      start_state.next_attempt = std::min(start_state.next_attempt, now);
+  }
   this->list_is_current = true;
   this->ends_are_cut = listing.ended.size() >= kMaxListedEnds;
-  this->earlier_calls_settled =
-      this->earlier_calls_settled ||
-      (!this->ends_are_cut && this->watch_sent > this->earlier_calls_end);
+  this->predecessor_runs_listed =
+      this->predecessor_runs_listed ||
+      (!this->ends_are_cut && this->watch_sent > this->predecessor_calls_end);
   this->listed.clear();
   for (const ListedRun& run : listing.running) {
     const std::string name = TaskNameText(run.task);
--- a/src/libjobs/worker_agent.h
+++ b/src/libjobs/worker_agent.h
@@ -66,7 +66,7 @@
   kStaleToken,         ///< The worker has seen the token of a newer leader.
   kAlreadyEnded,       ///< The run was stopped or has ended on this worker.
   kDeadlineExceeded,   ///< The deadline had passed on the worker's clock.
-  kRejected,           ///< The worker rejected the call and did nothing.
+  kRejected,           ///< The worker did nothing on this call.
 };
 
 /// A run in the worker's listing.
@@ -126,6 +126,8 @@
 using AgentEffect =
     std::variant<StartCall, StopCall, WatchCall, ThrottleCall, SendReport>;
 
+/// For the log: a run that is stopped because the worker rejected its start and
+/// an earlier call may have started it.
 struct DoubtfulStart {
   wire::TaskName task;
   std::uint32_t run = 0;
@@ -150,8 +152,7 @@
   void OnTick(TimePoint now);
 
   std::vector<AgentEffect> TakeEffects();
-  /// Runs that are stopped since the last call of this function because the
-  /// worker rejected their start and an earlier call may have started them.
+  /// Those since the last call of this function.
   std::vector<DoubtfulStart> TakeDoubtfulStarts();
   bool HasLease(TimePoint now) const { return now < this->lease_end; }
   bool HasWorker() const { return this->worker.has_value(); }
@@ -172,7 +173,7 @@
     bool maybe_started = false;  // an earlier call may have started it
     TimePoint call_sent;         // of the latest call
     // The run has begun by then; kNever: perhaps, and perhaps later. The epoch:
-    // no call can have started it.
+    // no call of this process can have started it.
     TimePoint begun_by;
     bool survival_reported = false;
     int unanswered_calls = 0;  // in a row
@@ -239,12 +240,13 @@
   std::uint64_t acknowledged = 0;            // ends up to this are committed
   std::map<std::string, StartState> starts;  // by task name, as the next two
   std::map<std::string, StopState> stops;
-  // Highest runs that calls under an expired lease may have started, by task.
-  std::map<std::string, std::uint32_t> maybe_started;
-  // After this the worker executes no start call of an earlier process.
-  TimePoint earlier_calls_end;
-  // Whether a list requested after that shows what earlier processes started.
-  bool earlier_calls_settled = false;
+  // Highest runs that may have begun under an expired lease, by task.
+  std::map<std::string, std::uint32_t> doubtful_runs;
+  // After this the worker executes no start call of an earlier process of this
+  // agent: their deadlines have passed.
+  TimePoint predecessor_calls_end;
+  // Whether a list requested after that has shown what such calls started.
+  bool predecessor_runs_listed = false;
   std::map<std::string, ListedRun> listed;
   std::vector<wire::TaskEnd> ended;             // listed, not yet acknowledged
   std::map<std::string, Rejection> rejections;  // by task name
--- a/src/libjobs/worker_agent_test.cc
+++ b/src/libjobs/worker_agent_test.cc
@@ -335,6 +335,33 @@
   LONGS_EQUAL(1, this->stops.size());
 }
 
+TEST(WorkerAgent, AWorkerThatRejectsAllCallsOfANewProcessIsGone) {
+  this->Announce();
+  const TimePoint end = this->now + Milliseconds(6000);
+  while (this->now < end) {
+    this->DeliverOrders(this->OrderStart("j", 1));
+    for (; !this->starts.empty(); this->starts.pop_back())
+      this->AnswerStart(this->starts.size() - 1, CallOutcome::kRejected);
+    if (!this->watches.empty())
+      this->AnswerWatch({}, CallOutcome::kRejected);
+    this->AdvanceTime(Milliseconds(100));
+    if (this->reports.back().worker_gone())
+      return;
+  }
+  FAIL("the worker's hold has expired");
+}
+
+TEST(WorkerAgent, ANewIncarnationThatRejectsAStartBeforeItsListReturnsIt) {
+  this->OutliveCallsOfEarlierProcess();
+  this->Announce(2);
+  wire::AgentOrders orders = this->OrderStart("j", 1);
+  orders.set_born_ms(2);
+  this->DeliverOrders(orders);
+  this->AnswerStart(0, CallOutcome::kRejected);
+  this->AdvanceTime(Milliseconds(20));
+  LONGS_EQUAL(1, this->reports.back().rejected_size());
+}
+
 TEST(WorkerAgent, ARunThatNoEarlierProcessCanStartIsRejectedAtOnce) {
   this->OutliveCallsOfEarlierProcess();
   this->DeliverOrders(this->OrderStart("j", 1));
@@ -653,6 +680,21 @@
   }
 }
 
+TEST(WorkerAgent, ARunWhoseStopIsUnconfirmedAtTheEndOfALeaseStaysInDoubt) {
+  this->OutliveCallsOfEarlierProcess();
+  this->DeliverOrders(this->OrderStart("j", 1));
+  this->AnswerStart(0, CallOutcome::kNoAnswer);
+  this->AdvanceTime(Milliseconds(200));
+  this->AnswerStart(1, CallOutcome::kRejected);
+  LONGS_EQUAL(1, this->stops.size());
+  this->now += Milliseconds(6100);
+  this->DeliverOrders(this->OrderStart("j", 1));
+  this->AnswerStart(2, CallOutcome::kRejected);
+  this->AdvanceTime(Milliseconds(20));
+  LONGS_EQUAL(0, this->reports.back().rejected_size());
+  LONGS_EQUAL(2, this->stops.size());
+}
+
 TEST(WorkerAgent, ARunThatNoCallOfAnEndedLeaseStartsIsRejectedAtOnce) {
   this->OutliveCallsOfEarlierProcess();
   this->DeliverOrders(this->OrderStart("j", 1));
