--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -148,6 +148,7 @@
   if (outcome == CallOutcome::kConnectionRefused) {
     if (!this->connection_refused)
       this->refused_since = now;
+    this->last_refused = now;
     this->connection_refused = true;
     this->list_is_current = false;
     return;
@@ -165,8 +166,9 @@
 bool WorkerAgent::IsWorkerGone(TimePoint now) const {
   if (this->replaced || (this->leaving && this->connection_refused))
     return true;
+  // Time alone shows nothing: this process may have been frozen since.
   if (this->connection_refused &&
-      now > this->refused_since + this->options.refused_timeout)
+      this->last_refused >= this->refused_since + this->options.refused_timeout)
     return true;
   const TimePoint held = std::max(this->held_until, this->watch_hold_until);
   return !this->list_is_current && now > held + this->options.hold_margin;
--- a/src/libjobs/worker_agent.h
+++ b/src/libjobs/worker_agent.h
@@ -52,7 +52,7 @@
   /// Exceeds the crash window by the time for which this process may get no
   /// processor.
   Milliseconds survival_time{300};
-  /// A worker that refuses connections for longer than this counts as dead.
+  /// A worker that refuses connections, and again after this, counts as dead.
   Milliseconds refused_timeout{600};
   WorkerAgentMutations mutations;
 };
@@ -264,6 +264,7 @@
   TimePoint held_until;        // latest hold that any other call may have set
   TimePoint watch_hold_until;  // hold that the open watch call may set
   TimePoint refused_since;     // valid while `connection_refused`
+  TimePoint last_refused;      // as above
   bool connection_refused = false;
   // No start is issued until orders answer a report sent after this.
   std::uint64_t shrunk_ns = 0;  // 0: the worker has not shrunk lately
