A new agent process starts nothing until the leader knows its worker

Cause: an agent holds starts when its worker announces less room than before. A process that has just started has no "before": it held nothing, and took any orders, also those that answer its first report, which has no worker in it, or a report of the process before it. The worker may have shrunk seconds ago, while no process heard it.

Change: starts are held from the first announcement of a worker incarnation until orders answer a report sent after it. Orders that answer a report of an earlier process are ignored, but for their token: what they order may have been withdrawn and placed elsewhere since.

--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -38,7 +38,8 @@
       // one started.
       earlier_calls_end(now + this->options.hold_duration +
                         this->options.hold_margin),
-      held_until(now + this->options.hold_duration) {}
+      held_until(now + this->options.hold_duration),
+      process_start_ns(ToNanoseconds(now)) {}
 
 // --- The worker ---
 
@@ -55,7 +56,7 @@
   if (this->worker && SameIncarnation(*this->worker, description) &&
       this->worker->draining())
     description.set_draining(true);
-  this->HoldStartsIfShrunk(description, now);
+  this->HoldStartsIfUnknown(description, now);
   const bool changed = !this->worker || this->worker->SerializeAsString() !=
                                             description.SerializeAsString();
   this->worker = std::move(description);
@@ -66,18 +67,20 @@
 }
 
 // The leader may have assigned runs for which there is no room any more, and
-// withdraws them when it learns of that.
-void WorkerAgent::HoldStartsIfShrunk(
+// withdraws them when it learns of that. The worker may have shrunk before this
+// process heard it for the first time.
+void WorkerAgent::HoldStartsIfUnknown(
     const wire::JobWorkerDescription& description,
     TimePoint now) {
-  if (!this->worker)
+  const bool known = this->worker &&
+                     SameIncarnation(*this->worker, description) &&
+                     description.cpu_milli() >= this->worker->cpu_milli() &&
+                     description.memory_mb() >= this->worker->memory_mb() &&
+                     description.accelerators() >= this->worker->accelerators();
+  if (known)
     return;
-  const wire::JobWorkerDescription& before = *this->worker;
-  const bool shrunk = description.cpu_milli() < before.cpu_milli() ||
-                      description.memory_mb() < before.memory_mb() ||
-                      description.accelerators() < before.accelerators();
-  if (shrunk)
-    this->shrunk_ns = ToNanoseconds(now);
+  this->unknown_room_ns = ToNanoseconds(now);
+  this->report_pending = true;
 }
 
 void WorkerAgent::OnWorkerLeaving(const std::string& instance, TimePoint now) {
@@ -124,7 +127,7 @@
   this->watch_open = false;
   this->watch_hold_until = TimePoint();
   this->next_watch = TimePoint();
-  this->shrunk_ns = 0;
+  this->unknown_room_ns = 0;
   this->unanswered_start_calls = 0;
   this->throttler = BestEffortThrottler();
 }
@@ -178,6 +181,9 @@
   // on that report the leader may have released the worker's runs.
   if (orders.echoed_ns() <= this->last_gone_report_ns)
     return;
+  // What an earlier process of the agent was ordered may have been withdrawn.
+  if (orders.echoed_ns() < this->process_start_ns)
+    return;
   this->EndExpiredLease(now);
   const TimePoint end =
       FromNanoseconds(orders.echoed_ns()) + Milliseconds(orders.lease_ms());
@@ -185,8 +191,8 @@
   // ignored.
   if (orders.born_ms() != this->worker->born_ms() || now >= end)
     return;
-  if (orders.echoed_ns() >= this->shrunk_ns)
-    this->shrunk_ns = 0;
+  if (orders.echoed_ns() >= this->unknown_room_ns)
+    this->unknown_room_ns = 0;
   this->lease_end = std::max(this->lease_end, end);
   this->acknowledged = std::max(this->acknowledged, orders.acknowledged());
   std::erase_if(this->ended, [this](const wire::TaskEnd& end) {
@@ -293,7 +299,7 @@
 }
 
 void WorkerAgent::IssueStartCalls(TimePoint now) {
-  if (this->shrunk_ns != 0)
+  if (this->unknown_room_ns != 0)
     return;
   std::size_t open = 0;
   for (const auto& [name, start_state] : this->starts)
--- a/src/libjobs/worker_agent.h
+++ b/src/libjobs/worker_agent.h
@@ -224,8 +224,8 @@
   bool MayHaveBegunRecently(const StartState& start_state) const;
   bool HasSurvived(const StartState& start_state) const;
   void RecordCrash();
-  void HoldStartsIfShrunk(const wire::JobWorkerDescription& description,
-                          TimePoint now);
+  void HoldStartsIfUnknown(const wire::JobWorkerDescription& description,
+                           TimePoint now);
   void IssueReport(TimePoint now);
   TimePoint HoldDeadline(TimePoint now) const;
   TimePoint WatchDeadline(TimePoint now) const;
@@ -263,9 +263,11 @@
   TimePoint watch_hold_until;  // hold that the open watch call may set
   TimePoint refused_since;     // valid while `connection_refused`
   bool connection_refused = false;
-  // No start is issued until orders answer a report sent after this.
-  std::uint64_t shrunk_ns = 0;  // 0: the worker has not shrunk lately
-  TimePoint last_heard;         // latest answer or announcement of the worker
+  // No start is issued until orders answer a report sent after this: the leader
+  // may count on more room than the worker has. 0: it knows the room.
+  std::uint64_t unknown_room_ns = 0;
+  std::uint64_t process_start_ns = 0;
+  TimePoint last_heard;  // latest answer or announcement of the worker
   std::optional<wire::WorkerCrash> crash;  // the latest, not yet counted
   bool leaving = false;
   bool replaced = false;  // another incarnation answered a call
--- a/src/libjobs/worker_agent_test.cc
+++ b/src/libjobs/worker_agent_test.cc
@@ -781,6 +781,30 @@
   LONGS_EQUAL(6, this->starts.size());
 }
 
+// Its worker may have shrunk while no process of the agent heard it.
+TEST(WorkerAgent, ANewProcessStartsNothingUntilTheLeaderKnowsItsWorker) {
+  this->AdvanceTime(Milliseconds(20));
+  const wire::AgentOrders early = this->OrderStart("j", 1);
+  this->now += Milliseconds(10);
+  this->Announce();
+  this->DeliverOrders(early);
+  LONGS_EQUAL(0, this->starts.size());
+  this->AdvanceTime(Milliseconds(10));
+  this->DeliverOrders(this->Orders());
+  LONGS_EQUAL(1, this->starts.size());
+}
+
+// The run may have been withdrawn, and its task placed elsewhere, since then.
+TEST(WorkerAgent, OrdersThatAnswerAnEarlierProcessAreIgnored) {
+  wire::AgentOrders old = this->OrderStart("j", 1);
+  old.set_echoed_ns(old.echoed_ns() - 1);
+  this->Announce();
+  this->DeliverOrders(old);
+  this->AdvanceTime(Milliseconds(10));
+  this->DeliverOrders(this->Orders());
+  LONGS_EQUAL(0, this->starts.size());
+}
+
 TEST(WorkerAgent, ACrashIsReportedWithTheRunsThatBeganShortlyBefore) {
   this->Announce();
   this->OrderManyStarts(3);
