An agent that was paused hears its worker before it starts anything

Cause: a process that was stopped for some seconds finds orders and announcements waiting. If it takes the orders first, it issues up to four starts under a lease that still holds, though its worker has shrunk seconds before.

Change: after more than 1 s without any input nothing is started until the worker announces itself and the leader has answered a report after that; after 1.5 s (the platform's workers announce themselves each 1.1 s) starts go on without an announcement, so that a worker that only loses its announcements goes on working.

What they check is as it was. Tried and dropped: to ask for a recent announcement always. A worker whose announcements get lost, though it answers, would get no work for as long.

--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -39,12 +39,22 @@
       earlier_calls_end(now + this->options.hold_duration +
                         this->options.hold_margin),
       held_until(now + this->options.hold_duration),
-      process_start_ns(ToNanoseconds(now)) {}
+      process_start_ns(ToNanoseconds(now)),
+      last_active(now) {}
+
+// What the worker announced while this process was paused may be processed
+// after the orders of that time.
+void WorkerAgent::NoticePause(TimePoint now) {
+  if (now > this->last_active + this->options.max_pause)
+    this->hear_worker_by = now + this->options.announcement_wait;
+  this->last_active = now;
+}
 
 // --- The worker ---
 
 bool WorkerAgent::OnWorkerAnnounced(wire::JobWorkerDescription description,
                                     TimePoint now) {
+  this->NoticePause(now);
   description.set_agent(this->options.agent);
   if (this->worker && !SameIncarnation(*this->worker, description)) {
     if (description.born_ms() < this->worker->born_ms())
@@ -72,7 +82,9 @@
 void WorkerAgent::HoldStartsIfUnknown(
     const wire::JobWorkerDescription& description,
     TimePoint now) {
-  const bool known = this->worker &&
+  const bool paused = now < this->hear_worker_by;
+  this->hear_worker_by = TimePoint();
+  const bool known = this->worker && !paused &&
                      SameIncarnation(*this->worker, description) &&
                      description.cpu_milli() >= this->worker->cpu_milli() &&
                      description.memory_mb() >= this->worker->memory_mb() &&
@@ -171,6 +183,7 @@
 // --- Orders ---
 
 void WorkerAgent::OnOrders(const wire::AgentOrders& orders, TimePoint now) {
+  this->NoticePause(now);
   if (orders.term() < this->token || !this->worker)
     return;
   // Orders without a lease also carry the token, which every call needs.
@@ -267,6 +280,7 @@
 }
 
 void WorkerAgent::IssueCalls(TimePoint now) {
+  this->NoticePause(now);
   if (!this->worker)
     return;
   this->EndExpiredLease(now);
@@ -299,7 +313,7 @@
 }
 
 void WorkerAgent::IssueStartCalls(TimePoint now) {
-  if (this->unknown_room_ns != 0)
+  if (this->unknown_room_ns != 0 || now < this->hear_worker_by)
     return;
   std::size_t open = 0;
   for (const auto& [name, start_state] : this->starts)
--- a/src/libjobs/worker_agent.h
+++ b/src/libjobs/worker_agent.h
@@ -39,6 +39,11 @@
   /// Added to a hold before it counts as expired: the worker's clock may run 2%
   /// slow.
   Milliseconds hold_margin{400};
+  /// After a pause of this process of more than this ...
+  Milliseconds max_pause{1000};
+  /// ... nothing is started for this long, or until the worker announces
+  /// itself. Exceeds the interval of announcements.
+  Milliseconds announcement_wait{1500};
   /// Interval between reports when nothing has changed.
   Milliseconds report_interval{500};
   /// Longest time that a watch call waits for a run to end.
@@ -224,6 +229,7 @@
   bool MayHaveBegunRecently(const StartState& start_state) const;
   bool HasSurvived(const StartState& start_state) const;
   void RecordCrash();
+  void NoticePause(TimePoint now);
   void HoldStartsIfUnknown(const wire::JobWorkerDescription& description,
                            TimePoint now);
   void IssueReport(TimePoint now);
@@ -267,7 +273,9 @@
   // may count on more room than the worker has. 0: it knows the room.
   std::uint64_t unknown_room_ns = 0;
   std::uint64_t process_start_ns = 0;
-  TimePoint last_heard;  // latest answer or announcement of the worker
+  TimePoint last_active;     // latest input
+  TimePoint hear_worker_by;  // no start is issued before; cleared when heard
+  TimePoint last_heard;      // latest answer or announcement of the worker
   std::optional<wire::WorkerCrash> crash;  // the latest, not yet counted
   bool leaving = false;
   bool replaced = false;  // another incarnation answered a call
--- a/src/libjobs/worker_agent_test.cc
+++ b/src/libjobs/worker_agent_test.cc
@@ -111,6 +111,7 @@
     this->DeliverOrders(this->Orders());
     this->AnswerWatch({});
     this->AdvanceTime(Milliseconds(4500));
+    this->Announce();
     this->AnswerWatch({});
     this->AnswerWatch({});
   }
@@ -593,6 +594,7 @@
   this->Announce();
   this->DeliverOrders(this->OrderStart("j", 1));
   this->now += Milliseconds(6100);
+  this->Announce();
   this->DeliverOrders(this->OrderStart("j", 1));
   LONGS_EQUAL(2, this->starts.size());  // both calls are open
   this->AnswerStart(0, CallOutcome::kRejected);
@@ -617,6 +619,7 @@
     if (answered)
       this->AnswerStart(0, CallOutcome::kNoAnswer);
     this->now += Milliseconds(6100);
+    this->Announce();
     this->DeliverOrders(this->OrderStart("j", 1));
     this->AnswerStart(this->starts.size() - 1, CallOutcome::kRejected);
     this->AdvanceTime(Milliseconds(20));
@@ -630,6 +633,7 @@
   this->DeliverOrders(this->OrderStart("j", 1));
   this->AnswerStart(0, CallOutcome::kNoAnswer);
   this->now += Milliseconds(6100);
+  this->Announce();
   this->DeliverOrders(this->OrderStart("j", 2));
   this->AnswerStart(1, CallOutcome::kRejected);
   this->AdvanceTime(Milliseconds(20));
@@ -805,6 +809,30 @@
   LONGS_EQUAL(0, this->starts.size());
 }
 
+// After a pause, orders may be processed before what the worker said meanwhile.
+TEST(WorkerAgent, AWorkerThatWasNotHeardLatelyStartsNothing) {
+  this->Announce();
+  this->DeliverOrders(this->Orders());
+  this->now += Milliseconds(3000);
+  this->DeliverOrders(this->OrderStart("j", 1));
+  LONGS_EQUAL(0, this->starts.size());
+  this->now += Milliseconds(10);
+  this->Announce();
+  LONGS_EQUAL(0, this->starts.size());
+  this->DeliverOrders(this->Orders());
+  LONGS_EQUAL(1, this->starts.size());
+}
+
+TEST(WorkerAgent, AWorkerThatIsNotHeardAfterAPauseIsStartedOnAllTheSame) {
+  this->Announce();
+  this->DeliverOrders(this->Orders());
+  this->now += Milliseconds(3000);
+  this->DeliverOrders(this->OrderStart("j", 1));
+  for (int round = 0; round < 3; ++round)
+    this->AdvanceTime(Milliseconds(500));
+  LONGS_EQUAL(1, this->starts.size());
+}
+
 TEST(WorkerAgent, ACrashIsReportedWithTheRunsThatBeganShortlyBefore) {
   this->Announce();
   this->OrderManyStarts(3);
