A start call that is executed later than 2 s after its decision is void

Cause: a start call carried the time until which runs may go on, up to 4 s ahead. A worker may execute a call seconds later. One that was sent just before the worker had announced that it is smaller (up to a heartbeat after it shrank, 1.1 s on the platform) could begin 5.1 s after the shrink; the smaller capacity counts from 4.1 s on.

Change: start calls carry at most 2 s. Runs are held by the watch calls, as before.

--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -328,7 +328,8 @@
     start_state.call_sent = now;
     start_state.call_number = ++this->last_start_call;
     open += 1;
-    const TimePoint hold_until = this->HoldDeadline(now);
+    const TimePoint hold_until =
+        std::min(this->HoldDeadline(now), now + this->options.start_window);
     this->held_until = std::max(this->held_until, hold_until);
     this->effects.emplace_back(StartCall{.born_ms = this->worker->born_ms(),
                                          .order = start_state.order,
--- a/src/libjobs/worker_agent.h
+++ b/src/libjobs/worker_agent.h
@@ -39,6 +39,10 @@
   /// Added to a hold before it counts as expired: the worker's clock may run 2%
   /// slow.
   Milliseconds hold_margin{400};
+  /// The worker rejects a start call that it would execute later than this.
+  /// With the time until a smaller capacity is announced, less than the time
+  /// after which such a capacity counts (3 s and a heartbeat).
+  Milliseconds start_window{2000};
   /// After a pause of this process of more than this ...
   Milliseconds max_pause{1000};
   /// ... nothing is started for this long, or until the worker announces
--- a/src/libjobs/worker_agent_test.cc
+++ b/src/libjobs/worker_agent_test.cc
@@ -833,6 +833,13 @@
   LONGS_EQUAL(1, this->starts.size());
 }
 
+// A worker that has shrunk in between would be overfilled.
+TEST(WorkerAgent, AStartThatIsExecutedSecondsLaterIsRejected) {
+  this->Announce();
+  this->DeliverOrders(this->OrderStart("j", 1));
+  CHECK(this->starts[0].hold_until <= this->now + Milliseconds(2000));
+}
+
 TEST(WorkerAgent, ACrashIsReportedWithTheRunsThatBeganShortlyBefore) {
   this->Announce();
   this->OrderManyStarts(3);
