Schedules that find starts on workers that have shrunk

The two schedules with workers that shrink held on the code before. Why: - each further shrink began the 3.3 s anew for which the full capacity counts, and each worker shrank every 2.8 s, so that the smaller one hardly ever counted; - the end of an earlier shrink restored the capacity during a later one; - the load was 40% of the room, so that halved workers were seldom full; - no calls were late (they are only where messages get lost), and no agent was frozen.

Change: a worker's limit is the largest capacity that it had in the last 3.3 s; it shrinks to 40 to 55%, again only once it has grown. A new schedule has more work than room, late and unanswered calls, agents and leaders that are killed, frozen and cut off. The two older schedules use the stricter limit.

--- a/testsuite/schedule/fault_driver.cc
+++ b/testsuite/schedule/fault_driver.cc
@@ -69,6 +69,18 @@
           .network = {.in_order = true}};
 }
 
+FaultPlan ShrinkingWorkers() {
+  return {
+      .kill_control = Milliseconds(6000),
+      .freeze = Milliseconds(1000),
+      .kill_agent = Milliseconds(3000),
+      .isolate_agent = Milliseconds(3000),
+      .ignore_starts = Milliseconds(3000),
+      .shrink_worker = Milliseconds(700),
+      .network = {
+          .loss_rate = 0.01, .long_delay_rate = 0.01, .late_call_rate = 0.2}};
+}
+
 FaultPlan LastingTaskFaults() {
   return {.kill_control = Milliseconds(30'000),
           .freeze = Milliseconds(30'000),
--- a/testsuite/schedule/fault_driver.h
+++ b/testsuite/schedule/fault_driver.h
@@ -29,7 +29,7 @@
   Milliseconds fail_starts{0};     ///< A worker fails all that it starts.
   Milliseconds ignore_starts{0};   ///< A worker answers no start calls.
   Milliseconds reject_starts{0};   ///< A worker rejects start calls.
-  Milliseconds shrink_worker{0};   ///< Halves its capacity for some seconds.
+  Milliseconds shrink_worker{0};   ///< Takes half of its room, for seconds.
   /// Isolates an agent until its worker is given up, and freezes the leader
   /// while that loss is being committed.
   Milliseconds freeze_leader_at_loss{0};
@@ -52,6 +52,8 @@
 /// messages of each connection arrive in order.
 FaultPlan LeaderFaultsOnOrderedLinks();
 
+/// Workers that shrink while agents and leaders die, freeze or are isolated.
+FaultPlan ShrinkingWorkers();
 /// Faults without loss of messages, so seldom that calm stretches lie between
 /// them, beside draining workers.
 FaultPlan LastingTaskFaults();
--- a/testsuite/schedule/job_mutation_test.cc
+++ b/testsuite/schedule/job_mutation_test.cc
@@ -15,7 +15,8 @@
 
 bool FindsJobViolation(const Mutations& mutations,
                        const std::string& expected,
-                       const FaultPlan& plan = AllJobFaults()) {
+                       const FaultPlan& plan = AllJobFaults(),
+                       const JobLoad& load = {}) {
   return FindsViolation(expected, [&](std::uint64_t seed) {
     JobSchedule schedule({.seed = seed,
                           .controls = 3,
@@ -25,7 +26,7 @@
                           .gateways = 2,
                           .open_membership = true,
                           .mutations = mutations},
-                         plan);
+                         plan, load);
     schedule.Run(kLength);
   });
 }
@@ -68,6 +69,16 @@
                           "capacity"));
 }
 
+TEST(JobMutation, AgentsThatGoOnStartingWhenTheirWorkerHasShrunk) {
+  CHECK(FindsJobViolation({.agent = {.start_when_shrunk = true}}, "capacity",
+                          ShrinkingWorkers(), ManyShortJobs()));
+}
+
+TEST(JobMutation, RunsThatStayWithAWorkerThatHasShrunk) {
+  CHECK(FindsJobViolation({.job_scheduler = {.skip_withdrawal = true}},
+                          "capacity", ShrinkingWorkers(), ManyShortJobs()));
+}
+
 TEST(JobMutation, DoubtThatIsCalledRefused) {
   CHECK(FindsJobViolation({.client = {.report_unknown_as_refused = true}},
                           "refused"));
--- a/testsuite/schedule/job_nodes.cc
+++ b/testsuite/schedule/job_nodes.cc
@@ -21,6 +21,9 @@
 // A capacity that has shrunk binds the scheduler after this: the time for which
 // calm machines are out of touch, and one heartbeat.
 constexpr Milliseconds kShrinkGrace{3000};
+// What a worker that has shrunk keeps of its capacity.
+constexpr std::uint32_t kMinShrunkPercent = 40;
+constexpr std::uint32_t kMaxShrunkPercent = 55;
 // A task that crashes its worker takes effect after this, and the worker is
 // back after that.
 constexpr Milliseconds kMaxCrashDelay{10};
@@ -52,7 +55,8 @@
   this->draining = false;
   this->crashing = false;
   this->capacity = kWorkerCapacity;
-  this->shrunk_at = TimePoint();
+  this->capacity_changes.clear();
+  this->shrunk = false;
   this->worker = ModelWorker();
   this->seen_hold_lapses = 0;
   this->born_ms = ToMilliseconds(this->test_estate->simulation.now());
@@ -135,28 +139,43 @@
 }
 
 void WorkerHost::Shrink(Milliseconds length) {
-  if (!this->alive)
+  if (!this->alive || this->shrunk)
     return;
   Simulation& simulation = this->test_estate->simulation;
   simulation.Trace(this->IncarnationName() + " shrinks");
-  this->capacity = {.cpu_milli = kWorkerCapacity.cpu_milli / 2,
-                    .memory_mb = kWorkerCapacity.memory_mb / 2};
-  this->shrunk_at = simulation.now();
-  this->test_estate->job_ledger.OnCapacity(this->IncarnationName(),
-                                           this->capacity, simulation.now());
-  simulation.RunAfter(length, [this, born_ms = this->born_ms, &simulation] {
+  this->shrunk = true;
+  const std::uint32_t percent =
+      kMinShrunkPercent + static_cast<std::uint32_t>(simulation.Random(
+                              kMaxShrunkPercent - kMinShrunkPercent + 1));
+  this->SetCapacity({.cpu_milli = kWorkerCapacity.cpu_milli * percent / 100,
+                     .memory_mb = kWorkerCapacity.memory_mb * percent / 100});
+  simulation.RunAfter(length, [this, born_ms = this->born_ms] {
     if (!this->alive || this->born_ms != born_ms)
       return;
-    this->capacity = kWorkerCapacity;
-    this->test_estate->job_ledger.OnCapacity(this->IncarnationName(),
-                                             this->capacity, simulation.now());
+    this->shrunk = false;
+    this->SetCapacity(kWorkerCapacity);
   });
 }
 
+void WorkerHost::SetCapacity(const WorkerCapacity& capacity) {
+  const TimePoint now = this->test_estate->simulation.now();
+  this->capacity_changes.push_back({.before = this->capacity, .at = now});
+  this->capacity = capacity;
+  this->test_estate->job_ledger.OnCapacity(this->IncarnationName(), capacity,
+                                           now);
+}
+
+// The largest capacity that the worker had lately.
 WorkerCapacity WorkerHost::Limit() const {
-  const bool binds = this->test_estate->simulation.now() >=
-                     this->shrunk_at + kShrinkGrace + kHeartbeatInterval;
-  return binds ? this->capacity : kWorkerCapacity;
+  const TimePoint now = this->test_estate->simulation.now();
+  WorkerCapacity limit = this->capacity;
+  for (const CapacityChange& change : this->capacity_changes) {
+    if (now >= change.at + kShrinkGrace + kHeartbeatInterval)
+      continue;
+    limit.cpu_milli = std::max(limit.cpu_milli, change.before.cpu_milli);
+    limit.memory_mb = std::max(limit.memory_mb, change.before.memory_mb);
+  }
+  return limit;
 }
 
 void WorkerHost::Advance() {
--- a/testsuite/schedule/job_nodes.h
+++ b/testsuite/schedule/job_nodes.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "libjobs/worker_agent.h"
 #include "libtransport/leader_contact.h"
@@ -40,7 +41,7 @@
   void IgnoreStarts(Milliseconds length);
   /// For `length`, start calls are rejected.
   void RejectStarts(Milliseconds length);
-  /// For `length`, has half of its capacity.
+  /// For `length`, has about half of its capacity.
   void Shrink(Milliseconds length);
   /// Advances the model to the present and passes its changes to the ledger.
   void Advance();
@@ -52,11 +53,16 @@
   void CallStart(const StartCall& call, AnswerCallback on_outcome);
 
  private:
+  struct CapacityChange {
+    WorkerCapacity before;
+    TimePoint at;
+  };
   TimePoint LocalNow() const;
   std::string IncarnationName() const;
   void Announce(std::int64_t born_ms);
   void SetFaulty(TimePoint& until, Milliseconds length);
   void CrashIfDue();
+  void SetCapacity(const WorkerCapacity& capacity);
   WorkerCapacity Limit() const;
   void Execute(std::int64_t born_ms,
                const WorkerCall& call,
@@ -72,7 +78,8 @@
   bool draining = false;
   bool crashing = false;
   WorkerCapacity capacity;
-  TimePoint shrunk_at;  // latest; the epoch: never
+  bool shrunk = false;
+  std::vector<CapacityChange> capacity_changes;
   // Faults of start calls, in simulated time.
   TimePoint fail_starts_until;
   TimePoint ignore_starts_until;
--- a/testsuite/schedule/job_schedule.cc
+++ b/testsuite/schedule/job_schedule.cc
@@ -32,6 +32,12 @@
 
 }  // namespace
 
+JobLoad ManyShortJobs() {
+  return {.mixed_job = Milliseconds(0),
+          .cancellation = Milliseconds(0),
+          .short_job = Milliseconds(150)};
+}
+
 JobSchedule::JobSchedule(const ScheduleOptions& options,
                          const FaultPlan& plan,
                          const JobLoad& load)
--- a/testsuite/schedule/job_schedule.h
+++ b/testsuite/schedule/job_schedule.h
@@ -26,6 +26,9 @@
   Milliseconds crashing_job{0};     ///< With a task that crashes its workers.
 };
 
+/// More work than workers have room for.
+JobLoad ManyShortJobs();
+
 class JobSchedule {
  public:
   JobSchedule(const ScheduleOptions& options,
--- a/testsuite/schedule/job_schedule_test.cc
+++ b/testsuite/schedule/job_schedule_test.cc
@@ -164,6 +164,10 @@
                     12, {.short_job = Milliseconds(400)});
 }
 
+TEST(JobSchedule, AWorkerThatShrinksBesideAllFaultsOfAgentsIsNotOverfilled) {
+  ExpectNoViolation(3, ShrinkingWorkers(), 40, ManyShortJobs());
+}
+
 TEST(JobSchedule, LastingTasksRunInCalmStretchesBetweenFaults) {
   ExpectNoViolation(3, LastingTaskFaults(), 6, {.first_lasting_jobs = 12});
 }
