--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -39,12 +39,22 @@
       predecessor_calls_end(now + this->options.hold_duration +
                             this->options.hold_margin),
       held_until(now + this->options.hold_duration),
-      answered_report_ns(ToNanoseconds(now)) {}
+      answered_report_ns(ToNanoseconds(now)),
+      last_active(now) {}
+
+// What the worker announced while this process was paused may be processed
+// after the orders of that time.
+void WorkerAgent::NoticePause(TimePoint now) {
+  if (now > this->last_active + this->options.max_pause)
+    this->hear_worker_by = now + this->options.announcement_wait;
+  this->last_active = now;
+}
 
 // --- The worker ---
 
 bool WorkerAgent::OnWorkerAnnounced(wire::JobWorkerDescription description,
                                     TimePoint now) {
+  this->NoticePause(now);
   description.set_agent(this->options.agent);
   if (this->worker && !SameIncarnation(*this->worker, description)) {
     if (description.born_ms() < this->worker->born_ms())
@@ -56,7 +66,7 @@
   if (this->worker && SameIncarnation(*this->worker, description) &&
       this->worker->draining())
     description.set_draining(true);
-  this->HoldStartsIfShrunk(description, now);
+  this->HoldStartsIfUnknown(description, now);
   const bool changed = !this->worker || this->worker->SerializeAsString() !=
                                             description.SerializeAsString();
   this->worker = std::move(description);
@@ -67,18 +77,22 @@
 }
 
 // The leader may have assigned runs for which there is no room any more, and
-// withdraws them when it learns of that.
-void WorkerAgent::HoldStartsIfShrunk(
+// withdraws them when it learns of that. The worker may have shrunk before this
+// process heard it for the first time.
+void WorkerAgent::HoldStartsIfUnknown(
     const wire::JobWorkerDescription& description,
     TimePoint now) {
-  if (!this->worker)
+  const bool paused = now < this->hear_worker_by;
+  this->hear_worker_by = TimePoint();
+  const bool known = this->worker && !paused &&
+                     SameIncarnation(*this->worker, description) &&
+                     description.cpu_milli() >= this->worker->cpu_milli() &&
+                     description.memory_mb() >= this->worker->memory_mb() &&
+                     description.accelerators() >= this->worker->accelerators();
+  if (known)
     return;
-  const wire::JobWorkerDescription& before = *this->worker;
-  const bool shrunk = description.cpu_milli() < before.cpu_milli() ||
-                      description.memory_mb() < before.memory_mb() ||
-                      description.accelerators() < before.accelerators();
-  if (shrunk)
-    this->shrunk_ns = ToNanoseconds(now);
+  this->unknown_room_ns = ToNanoseconds(now);
+  this->report_pending = true;
 }
 
 void WorkerAgent::OnWorkerLeaving(const std::string& instance, TimePoint now) {
@@ -131,7 +145,8 @@
   this->watch_open = false;
   this->watch_hold_until = TimePoint();
   this->next_watch = TimePoint();
-  this->shrunk_ns = 0;
+  this->unknown_room_ns = 0;
+  this->overfilled = false;
   this->unanswered_start_calls = 0;
   this->throttler = BestEffortThrottler();
 }
@@ -177,6 +192,7 @@
 // --- Orders ---
 
 void WorkerAgent::OnOrders(const wire::AgentOrders& orders, TimePoint now) {
+  this->NoticePause(now);
   if (orders.term() < this->token || !this->worker)
     return;
   // Orders without a lease also carry the token, which every call needs.
@@ -201,8 +217,9 @@
   // ignored.
   if (orders.born_ms() != this->worker->born_ms() || now >= end)
     return;
-  if (orders.echoed_ns() >= this->shrunk_ns)
-    this->shrunk_ns = 0;
+  if (orders.echoed_ns() >= this->unknown_room_ns)
+    this->unknown_room_ns = 0;
+  this->overfilled = orders.overfilled();
   this->lease_end = std::max(this->lease_end, end);
   this->acknowledged = std::max(this->acknowledged, orders.acknowledged());
   std::erase_if(this->ended, [this](const wire::TaskEnd& end) {
@@ -251,6 +268,13 @@
   this->IssueCalls(now);
 }
 
+bool WorkerAgent::MayIssueStarts(TimePoint now) const {
+  if (this->options.mutations.start_when_shrunk)
+    return true;
+  return this->unknown_room_ns == 0 && !this->overfilled &&
+         now >= this->hear_worker_by;
+}
+
 TimePoint WorkerAgent::HoldDeadline(TimePoint now) const {
   const TimePoint latest = now + this->options.hold_duration;
   return this->options.mutations.hold_beyond_lease
@@ -277,6 +301,7 @@
 }
 
 void WorkerAgent::IssueCalls(TimePoint now) {
+  this->NoticePause(now);
   if (!this->worker)
     return;
   this->EndExpiredLease(now);
@@ -309,7 +334,7 @@
 }
 
 void WorkerAgent::IssueStartCalls(TimePoint now) {
-  if (this->shrunk_ns != 0)
+  if (!this->MayIssueStarts(now))
     return;
   std::size_t open = 0;
   for (const auto& [name, start_state] : this->starts)
@@ -324,7 +349,8 @@
     start_state.call_sent = now;
     start_state.call_number = ++this->last_start_call;
     open += 1;
-    const TimePoint hold_until = this->HoldDeadline(now);
+    const TimePoint hold_until =
+        std::min(this->HoldDeadline(now), now + this->options.start_window);
     this->held_until = std::max(this->held_until, hold_until);
     this->effects.emplace_back(StartCall{.born_ms = this->worker->born_ms(),
                                          .order = start_state.order,
@@ -573,6 +599,7 @@
   }
   this->next_watch = now + kWatchInterval;
   if (!std::exchange(this->has_list, true)) {
+    this->report_pending = true;
     for (auto& [name, start_state] : this->starts)
       start_state.next_attempt = std::min(start_state.next_attempt, now);
   }
--- a/src/libjobs/worker_agent.h
+++ b/src/libjobs/worker_agent.h
@@ -29,6 +29,8 @@
   bool hold_beyond_lease = false;  ///< Holds ignore the end of the lease.
   /// Orders stay in force after the lease that they came with has expired.
   bool keep_orders_past_lease = false;
+  /// Starts are issued to a worker that has shrunk before the leader knows.
+  bool start_when_shrunk = false;
 };
 
 struct WorkerAgentOptions {
@@ -39,6 +41,15 @@
   /// Added to a hold before it counts as expired: the worker's clock may run 2%
   /// slow.
   Milliseconds hold_margin{400};
+  /// The worker rejects a start call that it would execute later than this.
+  /// With the time until a smaller capacity is announced, less than the time
+  /// after which such a capacity counts (3 s and a heartbeat).
+  Milliseconds start_window{2000};
+  /// After a pause of this process of more than this ...
+  Milliseconds max_pause{1000};
+  /// ... nothing is started for this long, or until the worker announces
+  /// itself. Exceeds the interval of announcements.
+  Milliseconds announcement_wait{1500};
   /// Interval between reports when nothing has changed.
   Milliseconds report_interval{500};
   /// Longest time that a watch call waits for a run to end.
@@ -225,8 +236,10 @@
   bool MayHaveBegunRecently(const StartState& start_state) const;
   bool HasSurvived(const StartState& start_state) const;
   void RecordCrash();
-  void HoldStartsIfShrunk(const wire::JobWorkerDescription& description,
-                          TimePoint now);
+  void NoticePause(TimePoint now);
+  void HoldStartsIfUnknown(const wire::JobWorkerDescription& description,
+                           TimePoint now);
+  bool MayIssueStarts(TimePoint now) const;
   void IssueReport(TimePoint now);
   TimePoint HoldDeadline(TimePoint now) const;
   TimePoint WatchDeadline(TimePoint now) const;
@@ -266,9 +279,13 @@
   TimePoint refused_since;     // valid while `connection_refused`
   TimePoint last_refused;      // as above
   bool connection_refused = false;
-  // No start is issued until orders answer a report sent after this.
-  std::uint64_t shrunk_ns = 0;  // 0: the worker has not shrunk lately
-  TimePoint last_heard;         // latest answer or announcement of the worker
+  // No start is issued until orders answer a report sent after this: the leader
+  // may count on more room than the worker has. 0: it knows the room.
+  std::uint64_t unknown_room_ns = 0;
+  bool overfilled = false;   // by the latest orders
+  TimePoint last_active;     // latest input
+  TimePoint hear_worker_by;  // no start is issued before; cleared when heard
+  TimePoint last_heard;      // latest answer or announcement of the worker
   std::optional<wire::WorkerCrash> crash;  // the latest, not yet counted
   bool leaving = false;
   bool replaced = false;  // another incarnation answered a call
--- a/src/libjobs/worker_agent_test.cc
+++ b/src/libjobs/worker_agent_test.cc
@@ -120,6 +120,7 @@
     this->DeliverOrders(this->Orders());
     this->AnswerWatch({});
     this->AdvanceTime(Milliseconds(4500));
+    this->Announce();
     this->AnswerWatch({});
     this->AnswerWatch({});
   }
@@ -671,6 +672,7 @@
   this->Announce();
   this->DeliverOrders(this->OrderStart("j", 1));
   this->now += Milliseconds(6100);
+  this->Announce();
   this->DeliverOrders(this->OrderStart("j", 1));
   LONGS_EQUAL(2, this->starts.size());  // both calls are open
   this->AnswerStart(0, CallOutcome::kRejected);
@@ -695,6 +697,7 @@
     if (answered)
       this->AnswerStart(0, CallOutcome::kNoAnswer);
     this->now += Milliseconds(6100);
+    this->Announce();
     this->DeliverOrders(this->OrderStart("j", 1));
     this->AnswerStart(this->starts.size() - 1, CallOutcome::kRejected);
     this->AdvanceTime(Milliseconds(20));
@@ -723,6 +726,7 @@
   this->DeliverOrders(this->OrderStart("j", 1));
   this->AnswerStart(0, CallOutcome::kNoAnswer);
   this->now += Milliseconds(6100);
+  this->Announce();
   this->DeliverOrders(this->OrderStart("j", 2));
   this->AnswerStart(1, CallOutcome::kRejected);
   this->AdvanceTime(Milliseconds(20));
@@ -874,6 +878,78 @@
   LONGS_EQUAL(6, this->starts.size());
 }
 
+// Its worker may have shrunk while no process of the agent heard it.
+TEST(WorkerAgent, ANewProcessStartsNothingUntilTheLeaderKnowsItsWorker) {
+  this->AdvanceTime(Milliseconds(20));
+  const wire::AgentOrders early = this->OrderStart("j", 1);
+  this->now += Milliseconds(10);
+  this->Announce();
+  this->DeliverOrders(early);
+  LONGS_EQUAL(0, this->starts.size());
+  this->AdvanceTime(Milliseconds(10));
+  this->DeliverOrders(this->Orders());
+  LONGS_EQUAL(1, this->starts.size());
+}
+
+// The run may have been withdrawn, and its task placed elsewhere, since then.
+TEST(WorkerAgent, OrdersThatAnswerAnEarlierProcessAreIgnored) {
+  wire::AgentOrders old = this->OrderStart("j", 1);
+  old.set_echoed_ns(old.echoed_ns() - 1);
+  this->Announce();
+  this->DeliverOrders(old);
+  this->AdvanceTime(Milliseconds(10));
+  this->DeliverOrders(this->Orders());
+  LONGS_EQUAL(0, this->starts.size());
+}
+
+// After a pause, orders may be processed before what the worker said meanwhile.
+TEST(WorkerAgent, AWorkerThatWasNotHeardLatelyStartsNothing) {
+  this->Announce();
+  this->DeliverOrders(this->Orders());
+  this->now += Milliseconds(3000);
+  this->DeliverOrders(this->OrderStart("j", 1));
+  LONGS_EQUAL(0, this->starts.size());
+  this->now += Milliseconds(10);
+  this->Announce();
+  LONGS_EQUAL(0, this->starts.size());
+  this->DeliverOrders(this->Orders());
+  LONGS_EQUAL(1, this->starts.size());
+}
+
+TEST(WorkerAgent, AWorkerThatIsNotHeardAfterAPauseIsStartedOnAllTheSame) {
+  this->Announce();
+  this->DeliverOrders(this->Orders());
+  this->now += Milliseconds(3000);
+  this->DeliverOrders(this->OrderStart("j", 1));
+  for (int round = 0; round < 3; ++round)
+    this->AdvanceTime(Milliseconds(500));
+  LONGS_EQUAL(1, this->starts.size());
+}
+
+// A worker that has shrunk in between would be overfilled.
+TEST(WorkerAgent, AStartThatIsExecutedSecondsLaterIsRejected) {
+  this->Announce();
+  this->DeliverOrders(this->OrderStart("j", 1));
+  CHECK(this->starts[0].hold_until <= this->now + Milliseconds(2000));
+}
+
+// Runs that are withdrawn may have begun, and then count until they end.
+TEST(WorkerAgent, NothingIsStartedWhileTheLeaderSeesTheWorkerOverfilled) {
+  this->Announce();
+  wire::AgentOrders orders = this->OrderStart("j", 1);
+  orders.set_overfilled(true);
+  this->DeliverOrders(orders);
+  LONGS_EQUAL(0, this->starts.size());
+  this->now += Milliseconds(10);
+  const wire::AgentOrders later = this->Orders();
+  this->DeliverOrders(later);
+  LONGS_EQUAL(1, this->starts.size());
+  this->DeliverOrders(orders);
+  this->AnswerStart(0, CallOutcome::kNoAnswer);
+  this->AdvanceTime(Milliseconds(500));
+  LONGS_EQUAL(2, this->starts.size());
+}
+
 TEST(WorkerAgent, ACrashIsReportedWithTheRunsThatBeganShortlyBefore) {
   this->Announce();
   this->OrderManyStarts(3);
--- a/testsuite/schedule/job_nodes.h
+++ b/testsuite/schedule/job_nodes.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "libjobs/worker_agent.h"
 #include "libtransport/leader_contact.h"
@@ -43,7 +44,7 @@
   void IgnoreStarts(Milliseconds length);
   /// For `length`, start calls are rejected.
   void RejectStarts(Milliseconds length);
-  /// For `length`, has half of its capacity.
+  /// For `length`, has about half of its capacity.
   void Shrink(Milliseconds length);
   /// Advances the model to the present and passes its changes to the ledger.
   void Advance();
@@ -57,12 +58,17 @@
   std::int64_t current_born_ms() const { return this->born_ms; }
 
  private:
+  struct CapacityChange {
+    WorkerCapacity before;
+    TimePoint at;
+  };
   TimePoint LocalNow() const;
   std::string IncarnationName() const;
   bool Reaches(std::int64_t born_ms) const;
   void Announce(std::int64_t born_ms);
   void SetFaulty(TimePoint& until, Milliseconds length);
   void CrashIfDue();
+  void SetCapacity(const WorkerCapacity& capacity);
   WorkerCapacity Limit() const;
   void Execute(std::int64_t born_ms,
                const WorkerCall& call,
@@ -80,7 +86,8 @@
   bool draining = false;
   bool crashing = false;
   WorkerCapacity capacity;
-  TimePoint shrunk_at;  // latest; the epoch: never
+  bool shrunk = false;
+  std::vector<CapacityChange> capacity_changes;
   // Faults of start calls, in simulated time.
   TimePoint fail_starts_until;
   TimePoint ignore_starts_until;
--- a/testsuite/schedule/job_schedule_test.cc
+++ b/testsuite/schedule/job_schedule_test.cc
@@ -194,6 +194,10 @@
       12, {.mixed_job = Milliseconds(150), .short_job = Milliseconds(150)}, 8);
 }
 
+TEST(JobSchedule, AWorkerThatShrinksBesideAllFaultsOfAgentsIsNotOverfilled) {
+  ExpectNoViolation(3, ShrinkingWorkers(), 40, ManyShortJobs());
+}
+
 TEST(JobSchedule, LastingTasksRunInCalmStretchesBetweenFaults) {
   ExpectNoViolation(3, LastingTaskFaults(), 6, {.first_lasting_jobs = 12});
 }
