--- a/src/libjobs/worker_agent_test.cc
+++ b/src/libjobs/worker_agent_test.cc
@@ -714,6 +714,7 @@
   this->AnswerStart(1, CallOutcome::kRejected);
   LONGS_EQUAL(1, this->stops.size());
   this->now += Milliseconds(6100);
+  this->Announce();
   this->DeliverOrders(this->OrderStart("j", 1));
   this->AnswerStart(2, CallOutcome::kRejected);
   this->AdvanceTime(Milliseconds(20));
