A worker that answers within 250 to 500 ms can be called

Callers would see: with answers that take over 250 ms no start was ever confirmed, though the worker may have carried each of them out. Watch calls failed above about 350 ms, so holds ran out. Cause: the check of a new connection and the call shared the call's 500 ms, and a call was sent however little was left. Without an answer the connection is dropped, so that the next call began with a check again. The wait of a watch was fixed before the check, whose time came out of the 700 ms for the answer. Change: calls and watches whose check took more than 200 ms are not sent, and the checked connection serves the next call. A watch so keeps 500 ms or more of its 700 ms, a call 300 ms or more of its 500 ms. A process that was paused past that time does not send either. Open: a call that was not sent still counts as one without an answer.

--- a/src/libtransport/http_client.cc
+++ b/src/libtransport/http_client.cc
@@ -51,6 +51,7 @@
   std::int64_t peer = 0;  // whose check has passed
   // Of the current request:
   std::optional<TimePoint> connect_by;  // nullopt: only the open connection
+  TimePoint send_by;
   bool connect_prevented = false;
   bool sent = false;
 
@@ -76,7 +77,8 @@
                     int /*remote_port*/,
                     int /*local_port*/) {
     auto* self = static_cast<Connection*>(user_data);
-    if (self->connect_by && BootClock::now() >= *self->connect_by)
+    const TimePoint now = BootClock::now();
+    if (now >= self->send_by || (self->connect_by && now >= *self->connect_by))
       return CURL_PREREQFUNC_ABORT;
     self->sent = true;
     return CURL_PREREQFUNC_OK;
@@ -103,25 +105,24 @@
   return connection;
 }
 
-void HttpClient::KeepConnection(std::unique_ptr<Connection> connection,
-                                const HttpOutcome& outcome) {
-  if (outcome.kind != HttpOutcome::Kind::kAnswered)
-    return;
+void HttpClient::KeepConnection(std::unique_ptr<Connection> connection) {
   const std::lock_guard lock(this->mutex);
   this->idle_connections.push_back(std::move(connection));
 }
 
 HttpOutcome HttpClient::Send(const HttpRequest& request,
                              const ConnectionCheck& check,
-                             TimePoint deadline) {
+                             const HttpDeadlines& times) {
   std::unique_ptr<Connection> connection = this->TakeConnection(check.peer);
   HttpOutcome outcome{.kind = HttpOutcome::Kind::kNotSent};
   if (connection != nullptr)
-    outcome = this->Perform(*connection, request, std::nullopt, deadline);
+    outcome = this->Perform(*connection, request, std::nullopt, times);
   if (outcome.kind == HttpOutcome::Kind::kNotSent) {
     connection = std::make_unique<Connection>();
     const TimePoint checked = BootClock::now();
-    outcome = this->Perform(*connection, check.request, deadline, deadline);
+    outcome = this->Perform(
+        *connection, check.request, times.answer_by,
+        {.send_by = times.answer_by, .answer_by = times.answer_by});
     if (outcome.kind != HttpOutcome::Kind::kAnswered)
       return outcome;
     if (!check.passes(outcome.response)) {
@@ -129,13 +130,18 @@
       return outcome;
     }
     connection->peer = check.peer;
-    outcome = this->Perform(*connection, request, std::nullopt, deadline);
+    if (BootClock::now() >= times.send_by) {
+      this->KeepConnection(std::move(connection));
+      return {.kind = HttpOutcome::Kind::kNotSent};
+    }
+    outcome = this->Perform(*connection, request, std::nullopt, times);
     if (outcome.kind == HttpOutcome::Kind::kNotSent) {
-      outcome = this->Perform(*connection, request, checked + kCheckValidity,
-                              deadline);
+      outcome =
+          this->Perform(*connection, request, checked + kCheckValidity, times);
     }
   }
-  this->KeepConnection(std::move(connection), outcome);
+  if (outcome.kind == HttpOutcome::Kind::kAnswered)
+    this->KeepConnection(std::move(connection));
   return outcome;
 }
 
@@ -143,8 +149,9 @@
 HttpOutcome HttpClient::Perform(Connection& connection,
                                 const HttpRequest& request,
                                 std::optional<TimePoint> connect_by,
-                                TimePoint deadline) {
+                                const HttpDeadlines& times) {
   connection.connect_by = connect_by;
+  connection.send_by = times.send_by;
   connection.connect_prevented = connection.sent = false;
   CURL* handle = connection.handle;
   const std::string url = "http://" + this->address + request.path +
@@ -158,7 +165,7 @@
         curl_slist_append(headers, (header.name + ": " + header.value).c_str());
   }
   const auto timeout_ms = std::max<std::int64_t>(
-      1, RemainingTime(BootClock::now(), deadline).count());
+      1, RemainingTime(BootClock::now(), times.answer_by).count());
   curl_easy_reset(handle);
   curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
@@ -190,7 +197,8 @@
                          os_error == ECONNREFUSED;
     if (refused)
       outcome.kind = HttpOutcome::Kind::kRefused;
-    else if (connection.connect_prevented && !connection.sent)
+    else if (!connection.sent && (connection.connect_prevented ||
+                                  code == CURLE_ABORTED_BY_CALLBACK))
       outcome.kind = HttpOutcome::Kind::kNotSent;
     return outcome;
   }
--- a/src/libtransport/http_client.h
+++ b/src/libtransport/http_client.h
@@ -21,7 +21,8 @@
     kAnswered,
     kNoAnswer,  ///< Failed or timed out; the peer may have got the request.
     kRefused,   ///< Connection refused; the request was not sent.
-    /// The request was not sent: the connection that it needs is closed.
+    /// The request was not sent: the connection that it needs is closed, or
+    /// the time to send it was over.
     kNotSent,
     /// The request was not sent: `response` answers the check of the
     /// connection, and did not pass it.
@@ -31,6 +32,12 @@
   HttpResponse response;  ///< Valid if `kind` is kAnswered or kCheckFailed.
 };
 
+/// Times of one request.
+struct HttpDeadlines {
+  TimePoint send_by;    ///< Leaves the peer enough time for its response.
+  TimePoint answer_by;  ///< Also the deadline of the check.
+};
+
 /// Shows which process is at the other end of a connection. A connection ends
 /// with the process that accepted it, so what passed once holds for as long as
 /// the connection lasts.
@@ -52,10 +59,12 @@
   HttpClient& operator=(const HttpClient&) = delete;
 
   /// Sends the request on a connection that has passed the check, and waits for
-  /// the complete response until `deadline`.
+  /// the complete response until `times.answer_by`. If the check takes longer
+  /// than until `times.send_by`, the request is not sent, and the next one gets
+  /// the connection.
   HttpOutcome Send(const HttpRequest& request,
                    const ConnectionCheck& check,
-                   TimePoint deadline);
+                   const HttpDeadlines& times);
 
  private:
   struct Connection;
@@ -63,9 +72,8 @@
   HttpOutcome Perform(Connection& connection,
                       const HttpRequest& request,
                       std::optional<TimePoint> connect_by,
-                      TimePoint deadline);
-  void KeepConnection(std::unique_ptr<Connection> connection,
-                      const HttpOutcome& outcome);
+                      const HttpDeadlines& times);
+  void KeepConnection(std::unique_ptr<Connection> connection);
 
   std::string address;
   std::mutex mutex;
