HTTP client: names and reasons of the connection check

`peer` is an id, and 0 is unnamed. That no process ends and begins again within the 50 ms of kCheckValidity is an accepted risk, not a fact. OnConnect says why it refuses a connection.

--- a/src/libtransport/http_client.cc
+++ b/src/libtransport/http_client.cc
@@ -11,7 +11,8 @@
 namespace {
 
 // A peer that closes each connection gets its requests on another one within
-// this time from the check, in which no process ends and starts again.
+// this time from the check. That the process may end and another one begin in
+// that time is an accepted risk (see docs/PLATFORM.md).
 constexpr Milliseconds kCheckValidity{50};
 
 void InitCurlOnce() {
@@ -48,7 +49,7 @@
 
 struct HttpClient::Connection {
   CURL* handle = curl_easy_init();
-  std::int64_t peer = 0;  // whose check has passed
+  std::int64_t peer_id = 0;  // whose check has passed
   // Of the current request:
   std::optional<TimePoint> connect_by;  // nullopt: only the open connection
   TimePoint send_by;
@@ -66,6 +67,8 @@
     auto* self = static_cast<Connection*>(user_data);
     self->connect_prevented =
         !self->connect_by || BootClock::now() >= *self->connect_by;
+    // Fails the request before it is sent: nothing shows which process would
+    // get it on a new connection.
     if (self->connect_prevented)
       return CURL_SOCKET_BAD;
     return socket(address->family, address->socktype, address->protocol);
@@ -92,10 +95,10 @@
 HttpClient::~HttpClient() = default;
 
 std::unique_ptr<HttpClient::Connection> HttpClient::TakeConnection(
-    std::int64_t peer) {
+    std::int64_t peer_id) {
   const std::lock_guard lock(this->mutex);
-  std::erase_if(this->idle_connections, [peer](const auto& connection) {
-    return connection->peer != peer;
+  std::erase_if(this->idle_connections, [peer_id](const auto& connection) {
+    return connection->peer_id != peer_id;
   });
   if (this->idle_connections.empty())
     return nullptr;
@@ -113,7 +116,7 @@
 HttpOutcome HttpClient::Send(const HttpRequest& request,
                              const ConnectionCheck& check,
                              const HttpDeadlines& times) {
-  std::unique_ptr<Connection> connection = this->TakeConnection(check.peer);
+  std::unique_ptr<Connection> connection = this->TakeConnection(check.peer_id);
   HttpOutcome outcome{.kind = HttpOutcome::Kind::kNotSent};
   if (connection != nullptr)
     outcome = this->Perform(*connection, request, std::nullopt, times);
@@ -129,7 +132,7 @@
       outcome.kind = HttpOutcome::Kind::kCheckFailed;
       return outcome;
     }
-    connection->peer = check.peer;
+    connection->peer_id = check.peer_id;
     if (BootClock::now() >= times.send_by) {
       this->KeepConnection(std::move(connection));
       return {.kind = HttpOutcome::Kind::kNotSent};
--- a/src/libtransport/http_client.h
+++ b/src/libtransport/http_client.h
@@ -42,8 +42,8 @@
 /// with the process that accepted it, so what passed once holds for as long as
 /// the connection lasts.
 struct ConnectionCheck {
-  std::int64_t peer = 0;  ///< The process that is meant.
-  HttpRequest request;    ///< Harmless if another process gets it.
+  std::int64_t peer_id = 0;  ///< The process that is meant; 0: unnamed.
+  HttpRequest request;       ///< Harmless if another process gets it.
   std::function<bool(const HttpResponse&)> passes;
 };
 
@@ -68,7 +68,7 @@
 
  private:
   struct Connection;
-  std::unique_ptr<Connection> TakeConnection(std::int64_t peer);
+  std::unique_ptr<Connection> TakeConnection(std::int64_t peer_id);
   HttpOutcome Perform(Connection& connection,
                       const HttpRequest& request,
                       std::optional<TimePoint> connect_by,
