--- a/src/libtransport/http_client.cc
+++ b/src/libtransport/http_client.cc
@@ -11,7 +11,8 @@
 namespace {
 
 // A peer that closes each connection gets its requests on another one within
-// this time from the check, in which no process ends and starts again.
+// this time from the check. That the process may end and another one begin in
+// that time is an accepted risk (see docs/PLATFORM.md).
 constexpr Milliseconds kCheckValidity{50};
 
 void InitCurlOnce() {
@@ -48,9 +49,10 @@
 
 struct HttpClient::Connection {
   CURL* handle = curl_easy_init();
-  std::int64_t peer = 0;  // whose check has passed
+  std::int64_t peer_id = 0;  // whose check has passed
   // Of the current request:
   std::optional<TimePoint> connect_by;  // nullopt: only the open connection
+  TimePoint send_by;
   bool connect_prevented = false;
   bool sent = false;
 
@@ -65,6 +67,8 @@
     auto* self = static_cast<Connection*>(user_data);
     self->connect_prevented =
         !self->connect_by || BootClock::now() >= *self->connect_by;
+    // Fails the request before it is sent: nothing shows which process would
+    // get it on a new connection.
     if (self->connect_prevented)
       return CURL_SOCKET_BAD;
     return socket(address->family, address->socktype, address->protocol);
@@ -76,7 +80,8 @@
                     int /*remote_port*/,
                     int /*local_port*/) {
     auto* self = static_cast<Connection*>(user_data);
-    if (self->connect_by && BootClock::now() >= *self->connect_by)
+    const TimePoint now = BootClock::now();
+    if (now >= self->send_by || (self->connect_by && now >= *self->connect_by))
       return CURL_PREREQFUNC_ABORT;
     self->sent = true;
     return CURL_PREREQFUNC_OK;
@@ -90,10 +95,10 @@
 HttpClient::~HttpClient() = default;
 
 std::unique_ptr<HttpClient::Connection> HttpClient::TakeConnection(
-    std::int64_t peer) {
+    std::int64_t peer_id) {
   const std::lock_guard lock(this->mutex);
-  std::erase_if(this->idle_connections, [peer](const auto& connection) {
-    return connection->peer != peer;
+  std::erase_if(this->idle_connections, [peer_id](const auto& connection) {
+    return connection->peer_id != peer_id;
   });
   if (this->idle_connections.empty())
     return nullptr;
@@ -103,39 +108,43 @@
   return connection;
 }
 
-void HttpClient::KeepConnection(std::unique_ptr<Connection> connection,
-                                const HttpOutcome& outcome) {
-  if (outcome.kind != HttpOutcome::Kind::kAnswered)
-    return;
+void HttpClient::KeepConnection(std::unique_ptr<Connection> connection) {
   const std::lock_guard lock(this->mutex);
   this->idle_connections.push_back(std::move(connection));
 }
 
 HttpOutcome HttpClient::Send(const HttpRequest& request,
                              const ConnectionCheck& check,
-                             TimePoint deadline) {
-  std::unique_ptr<Connection> connection = this->TakeConnection(check.peer);
+                             const HttpDeadlines& times) {
+  std::unique_ptr<Connection> connection = this->TakeConnection(check.peer_id);
   HttpOutcome outcome{.kind = HttpOutcome::Kind::kNotSent};
   if (connection != nullptr)
-    outcome = this->Perform(*connection, request, std::nullopt, deadline);
+    outcome = this->Perform(*connection, request, std::nullopt, times);
   if (outcome.kind == HttpOutcome::Kind::kNotSent) {
     connection = std::make_unique<Connection>();
     const TimePoint checked = BootClock::now();
-    outcome = this->Perform(*connection, check.request, deadline, deadline);
+    outcome = this->Perform(
+        *connection, check.request, times.answer_by,
+        {.send_by = times.answer_by, .answer_by = times.answer_by});
     if (outcome.kind != HttpOutcome::Kind::kAnswered)
       return outcome;
     if (!check.passes(outcome.response)) {
       outcome.kind = HttpOutcome::Kind::kCheckFailed;
       return outcome;
     }
-    connection->peer = check.peer;
-    outcome = this->Perform(*connection, request, std::nullopt, deadline);
+    connection->peer_id = check.peer_id;
+    if (BootClock::now() >= times.send_by) {
+      this->KeepConnection(std::move(connection));
+      return {.kind = HttpOutcome::Kind::kNotSent};
+    }
+    outcome = this->Perform(*connection, request, std::nullopt, times);
     if (outcome.kind == HttpOutcome::Kind::kNotSent) {
-      outcome = this->Perform(*connection, request, checked + kCheckValidity,
-                              deadline);
+      outcome =
+          this->Perform(*connection, request, checked + kCheckValidity, times);
     }
   }
-  this->KeepConnection(std::move(connection), outcome);
+  if (outcome.kind == HttpOutcome::Kind::kAnswered)
+    this->KeepConnection(std::move(connection));
   return outcome;
 }
 
@@ -143,8 +152,9 @@
 HttpOutcome HttpClient::Perform(Connection& connection,
                                 const HttpRequest& request,
                                 std::optional<TimePoint> connect_by,
-                                TimePoint deadline) {
+                                const HttpDeadlines& times) {
   connection.connect_by = connect_by;
+  connection.send_by = times.send_by;
   connection.connect_prevented = connection.sent = false;
   CURL* handle = connection.handle;
   const std::string url = "http://" + this->address + request.path +
@@ -158,7 +168,7 @@
         curl_slist_append(headers, (header.name + ": " + header.value).c_str());
   }
   const auto timeout_ms = std::max<std::int64_t>(
-      1, RemainingTime(BootClock::now(), deadline).count());
+      1, RemainingTime(BootClock::now(), times.answer_by).count());
   curl_easy_reset(handle);
   curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
@@ -190,7 +200,8 @@
                          os_error == ECONNREFUSED;
     if (refused)
       outcome.kind = HttpOutcome::Kind::kRefused;
-    else if (connection.connect_prevented && !connection.sent)
+    else if (!connection.sent && (connection.connect_prevented ||
+                                  code == CURLE_ABORTED_BY_CALLBACK))
       outcome.kind = HttpOutcome::Kind::kNotSent;
     return outcome;
   }
