--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -191,6 +191,16 @@
 
 // --- Orders ---
 
+// Orders that newer ones have overtaken may start runs whose rejection the
+// leader has processed since. So may orders that answer an earlier process of
+// the agent; if that ran before its VM restarted, they echo a time that is
+// still to come.
+bool WorkerAgent::IsOvertaken(const wire::AgentOrders& orders,
+                              TimePoint now) const {
+  return orders.echoed_ns() < this->answered_report_ns ||
+         orders.echoed_ns() > ToNanoseconds(now);
+}
+
 void WorkerAgent::OnOrders(const wire::AgentOrders& orders, TimePoint now) {
   this->NoticePause(now);
   if (orders.term() < this->token || !this->worker)
@@ -199,11 +209,7 @@
   this->token = orders.term();
   if (this->crash && orders.counted_crash_ms() >= this->crash->born_ms())
     this->crash.reset();
-  // Overtaken orders, and orders for an earlier process, may start runs whose
-  // rejection the leader has processed since. That process may have run before
-  // the VM restarted, when its clock was ahead.
-  if (orders.echoed_ns() < this->answered_report_ns ||
-      orders.echoed_ns() > ToNanoseconds(now))
+  if (this->IsOvertaken(orders, now))
     return;
   this->answered_report_ns = orders.echoed_ns();
   // Skips orders that answer the latest `worker_gone` report or an earlier one:
--- a/src/libjobs/worker_agent.h
+++ b/src/libjobs/worker_agent.h
@@ -233,6 +233,7 @@
   void RecordOutcome(CallOutcome outcome, TimePoint now);
   void AddRejection(const wire::TaskName& task, std::uint32_t run);
   bool IsWorkerGone(TimePoint now) const;
+  bool IsOvertaken(const wire::AgentOrders& orders, TimePoint now) const;
   bool MayHaveBegunRecently(const StartState& start_state) const;
   bool HasSurvived(const StartState& start_state) const;
   void RecordCrash();
@@ -291,7 +292,8 @@
   bool replaced = false;  // another incarnation answered a call
   // Time of the latest report with `worker_gone` set.
   std::uint64_t last_gone_report_ns = 0;
-  // Time of the latest report that orders have answered.
+  // Time of the latest report that orders have answered; at first, when this
+  // process started.
   std::uint64_t answered_report_ns;
   bool report_pending = false;  // send a report at the next tick
   TimePoint next_report;
--- a/src/libtransport/http_client.cc
+++ b/src/libtransport/http_client.cc
@@ -120,28 +120,38 @@
   HttpOutcome outcome{.kind = HttpOutcome::Kind::kNotSent};
   if (connection != nullptr)
     outcome = this->Perform(*connection, request, std::nullopt, times);
+  // The peer may have closed the kept connection since its last use.
+  if (outcome.kind == HttpOutcome::Kind::kNotSent)
+    return this->SendOnNewConnection(request, check, times);
+  if (outcome.kind == HttpOutcome::Kind::kAnswered)
+    this->KeepConnection(std::move(connection));
+  return outcome;
+}
+
+HttpOutcome HttpClient::SendOnNewConnection(const HttpRequest& request,
+                                            const ConnectionCheck& check,
+                                            const HttpDeadlines& times) {
+  auto connection = std::make_unique<Connection>();
+  const TimePoint checked = BootClock::now();
+  HttpOutcome outcome =
+      this->Perform(*connection, check.request, times.answer_by,
+                    {.send_by = times.answer_by, .answer_by = times.answer_by});
+  if (outcome.kind != HttpOutcome::Kind::kAnswered)
+    return outcome;
+  if (!check.passes(outcome.response)) {
+    outcome.kind = HttpOutcome::Kind::kCheckFailed;
+    return outcome;
+  }
+  connection->peer_id = check.peer_id;
+  if (BootClock::now() >= times.send_by) {
+    this->KeepConnection(std::move(connection));
+    return {.kind = HttpOutcome::Kind::kNotSent};
+  }
+  outcome = this->Perform(*connection, request, std::nullopt, times);
+  // A peer that closes each connection has closed this one after the check.
   if (outcome.kind == HttpOutcome::Kind::kNotSent) {
-    connection = std::make_unique<Connection>();
-    const TimePoint checked = BootClock::now();
-    outcome = this->Perform(
-        *connection, check.request, times.answer_by,
-        {.send_by = times.answer_by, .answer_by = times.answer_by});
-    if (outcome.kind != HttpOutcome::Kind::kAnswered)
-      return outcome;
-    if (!check.passes(outcome.response)) {
-      outcome.kind = HttpOutcome::Kind::kCheckFailed;
-      return outcome;
-    }
-    connection->peer_id = check.peer_id;
-    if (BootClock::now() >= times.send_by) {
-      this->KeepConnection(std::move(connection));
-      return {.kind = HttpOutcome::Kind::kNotSent};
-    }
-    outcome = this->Perform(*connection, request, std::nullopt, times);
-    if (outcome.kind == HttpOutcome::Kind::kNotSent) {
-      outcome =
-          this->Perform(*connection, request, checked + kCheckValidity, times);
-    }
+    outcome =
+        this->Perform(*connection, request, checked + kCheckValidity, times);
   }
   if (outcome.kind == HttpOutcome::Kind::kAnswered)
     this->KeepConnection(std::move(connection));
--- a/src/libtransport/http_client.h
+++ b/src/libtransport/http_client.h
@@ -38,9 +38,9 @@
   TimePoint answer_by;  ///< Also the deadline of the check.
 };
 
-/// Shows which process is at the other end of a connection. A connection ends
-/// with the process that accepted it, so what passed once holds for as long as
-/// the connection lasts.
+/// Shows which process is at the other end of a connection. What passed once
+/// holds for as long as the connection lasts: this relies on connections ending
+/// with the process that accepted them.
 struct ConnectionCheck {
   std::int64_t peer_id = 0;  ///< The process that is meant; 0: unnamed.
   HttpRequest request;       ///< Harmless if another process gets it.
@@ -69,6 +69,9 @@
  private:
   struct Connection;
   std::unique_ptr<Connection> TakeConnection(std::int64_t peer_id);
+  HttpOutcome SendOnNewConnection(const HttpRequest& request,
+                                  const ConnectionCheck& check,
+                                  const HttpDeadlines& times);
   HttpOutcome Perform(Connection& connection,
                       const HttpRequest& request,
                       std::optional<TimePoint> connect_by,
