A sound job is not given up for three crashes of another cause

Cause: no placement fault. The job was given up at 3632800 (JobScheduler::MustBeGivenUp): "3 workers crashed when they started lot-51.0.0.1".

Ruled out: PlaceSuspects, FindTestWorker, max_wait_for_test, IsRetryDelayed (nothing of the job is placed after it has ended).

Change: while workers crash that had begun nothing, and under a new leader that finds suspects, giving up takes one crash more (four, three of them alone). The limit of five stays. No wire or stored change.

Conclusion: the chance is smaller, not gone; nobody can tell five chance crashes from a culprit.

--- a/src/libjobs/job_scheduler.cc
+++ b/src/libjobs/job_scheduler.cc
@@ -39,7 +39,11 @@
 JobScheduler::JobScheduler(JobSchedulerOptions options,
                            const JobTable& table,
                            TimePoint led_since)
-    : options(options), crash_isolation(options.isolation, led_since) {
+    : options(options),
+      crash_isolation(options.isolation, led_since),
+      other_causes_until(table.suspects().empty()
+                             ? led_since
+                             : led_since + options.memory_of_other_causes) {
   for (const auto& [agent, worker] : table.workers()) {
     AgentState& agent_state = this->agents[agent];
     agent_state.born_ms = worker.description.born_ms();
@@ -548,6 +552,8 @@
     this->agents[event.agent].loss_in_log_born_ms = 0;
   if (event.kind == JobEvent::Kind::kWorkerCrashed)
     this->crash_isolation.OnWorkerCrashed(event.agent, now);
+  if (event.kind == JobEvent::Kind::kWorkerCrashed && !event.explained)
+    this->other_causes_until = now + this->options.memory_of_other_causes;
   if (event.kind == JobEvent::Kind::kJobEnded)
     this->failure_attribution.OnJobEnded(event.job);
   if (event.kind == JobEvent::Kind::kEnded)
--- a/src/libjobs/job_scheduler.h
+++ b/src/libjobs/job_scheduler.h
@@ -78,6 +78,10 @@
   std::uint32_t crashes_to_give_up = 3;
   /// ... and this many of them had begun runs of no other job.
   std::uint32_t sole_crashes_to_give_up = 2;
+  /// Each of the two is one more for this long after a worker has crashed that
+  /// had begun nothing, as workers then also crash under sound tasks by chance.
+  /// A new leader that finds suspects doesn't know and assumes it.
+  Milliseconds memory_of_other_causes{30'000};
   /// It is given up after this many, whatever else they had begun.
   std::uint32_t max_crashes = 5;
   /// A suspect under which one worker has crashed is placed like other tasks
@@ -377,6 +381,7 @@
   CrashIsolation crash_isolation;
   std::map<TaskKey, LastingRetry> lasting_retries;
   std::map<TaskKey, TimePoint> test_deadlines;  // of suspects that wait
+  TimePoint other_causes_until;  // of crashes, that is; see the options
   std::uint64_t group_time_ms = 0;
   TimePoint decision_time;               // of the decision in progress
   std::set<std::uint64_t> started_jobs;  // with a run confirmed by a worker
--- a/src/libjobs/job_suspects.cc
+++ b/src/libjobs/job_suspects.cc
@@ -20,9 +20,11 @@
 }
 
 bool JobScheduler::MustBeGivenUp(const JobTask& task) const {
+  const std::uint32_t more =
+      this->decision_time < this->other_causes_until ? 1 : 0;
   return task.crashes >= this->options.max_crashes ||
-         (task.crashes >= this->options.crashes_to_give_up &&
-          task.sole_crashes >= this->options.sole_crashes_to_give_up);
+         (task.crashes >= this->options.crashes_to_give_up + more &&
+          task.sole_crashes >= this->options.sole_crashes_to_give_up + more);
 }
 
 bool JobScheduler::MustBeTested(const TaskKey& key, const JobTask& task) const {
--- a/src/libjobs/job_table.cc
+++ b/src/libjobs/job_table.cc
@@ -217,7 +217,8 @@
                      .agent = crash.agent(),
                      .reason = std::to_string(crash.recent_runs_size()) +
                                " runs of " + std::to_string(jobs.size()) +
-                               " jobs may have begun shortly before"});
+                               " jobs may have begun shortly before",
+                     .explained = crash.recent_runs_size() > 0});
   for (const wire::RecentRun& recent : crash.recent_runs()) {
     const TaskKey key = this->KeyOf(recent.task());
     const bool counts = key.step.sequence != 0 &&
--- a/src/libjobs/job_table.h
+++ b/src/libjobs/job_table.h
@@ -80,6 +80,8 @@
   TaskKey key;           ///< Default-constructed without a task.
   bool lasting = false;  ///< Whether the task belongs to a lasting step.
   bool job_open = true;  ///< For kEnded: whether the job had not ended before.
+  /// For kWorkerCrashed: whether a run that may have caused it is known.
+  bool explained = true;
 };
 
 /// An event in the history of a job. Stored as wire::StoredMoment.
