--- a/src/libjobs/worker_agent.h
+++ b/src/libjobs/worker_agent.h
@@ -163,7 +163,7 @@
   void OnTick(TimePoint now);
 
   std::vector<AgentEffect> TakeEffects();
-  /// Those since the last call of this function.
+  /// The starts in doubt since the last call of this function.
   std::vector<DoubtfulStart> TakeDoubtfulStarts();
   bool HasLease(TimePoint now) const { return now < this->lease_end; }
   bool HasWorker() const { return this->worker.has_value(); }
