Review case 2: processes that start after a seed turnover find no leader

Claim: once the seeds are machines that serve control without a disk, and these have restarted together, no process that starts later finds the running leader.

--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -18,10 +18,10 @@
 
 
 class Case:
-    def __init__(self, folder, sides):
+    def __init__(self, folder, sides, plain=0):
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.record = fleets.Record(os.path.join(folder, "record.txt"))
-        self.fleet = fleets.Fleet(self.record, sides=sides)
+        self.fleet = fleets.Fleet(self.record, plain=plain, sides=sides)
         self.bounds = fleets.BOUNDS
         self.platform = minions.Platform(self.fleet, self.record, self.bounds)
         self.client = fleets.Client(self.fleet, self.record)
@@ -60,12 +60,13 @@
         self.platform.stop()
 
 
-def play(file, sides, act):
+def play(file, sides, act, plain=0):
     """`act(case)` returns whether the rule held."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     status, case = 2, None
     try:
-        case = Case(os.path.dirname(os.path.abspath(file)), sides)
+        case = Case(os.path.dirname(os.path.abspath(file)), sides,
+                    plain)
 
         def give_up():
             case.fleet.stop_all()
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -96,9 +96,10 @@
 
 
 class Fleet:
-    """Core machines with a disk, and a side machine for each minion."""
+    """Front machines with a disk (cores) and without, and side machines. Every
+    front machine has the roles control and gateway."""
 
-    def __init__(self, record, cores=3, sides=4):
+    def __init__(self, record, cores=3, plain=0, sides=4):
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="savoryring-review-")
         self.processes = {}
@@ -108,7 +109,9 @@
         self.network = self.find_network()
         self.ports = {"frontend": 8161, "readiness": 8167, "control": 8166,
                       "app": 8360, "first": 7720, "last": 7735}
-        self.fronts = ["frontend-%s-1" % ZONES[i % 3] for i in range(cores)]
+        self.fronts = ["frontend-%s-%d" % (ZONES[i % 3], i // 3 + 1)
+                       for i in range(cores + plain)]
+        self.cores = self.fronts[:cores]
         self.sides = ["side-%s-%d" % (ZONES[i % 3], i // 3 + 1)
                       for i in range(sides)]
         self.seeds = ["%s:%d" % (self.ip(name), self.ports["control"])
@@ -154,18 +157,32 @@
             "heartbeat_ms": 1100, "control_mode": "push",
             "config_mode": "highest", "bounds": BOUNDS,
         }
-        if role == "control":
+        if role == "control" and machine in self.cores:
             fields["data_dir"] = os.path.join(self.folder, "data-" + machine)
         if role == "agent":
             fields["app"] = "%s:%d" % (ip, self.ports["app"])
         return fields
 
-    def start(self, machine, role):
+    def write_settings(self, machine, role):
+        """As the platform does at a start and whenever the settings change."""
         with open(os.path.join(ROOT, "deploy", role + ".json")) as file:
             settings = render(file.read(), self.fields(machine, role))
         path = os.path.join(self.folder, "%s-%s.conf" % (machine, role))
-        with open(path, "w") as file:
+        with open(path + ".new", "w") as file:
             file.write(settings)
+        os.replace(path + ".new", path)
+        return path
+
+    def change_seeds(self, machines):
+        self.seeds = ["%s:%d" % (self.ip(name), self.ports["control"])
+                      for name in machines]
+        for machine, role in self.processes:
+            self.write_settings(machine, role)
+            self.processes[machine, role].send_signal(signal.SIGHUP)
+        self.record.write("seeds are now", *machines)
+
+    def start(self, machine, role):
+        path = self.write_settings(machine, role)
         log = open(os.path.join(self.folder, "%s-%s.log" % (machine, role)), "a")
         self.processes[machine, role] = subprocess.Popen(
             [self.binary, "--settings=" + path], stdout=log, stderr=log,
@@ -182,10 +199,18 @@
             self.start(machine, "agent")
 
     def kill(self, machine, role):
+        self.end(machine, role, signal.SIGKILL)
+
+    def end(self, machine, role, how=signal.SIGTERM):
+        """SIGTERM is followed by SIGKILL after grace_s."""
         process = self.processes[machine, role]
-        process.send_signal(signal.SIGKILL)
-        process.wait()
-        self.record.write("kill", machine, role)
+        process.send_signal(how)
+        try:
+            process.wait(BOUNDS["grace_s"])
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+        self.record.write(how.name, machine, role)
 
     def stop_all(self):
         for process in self.processes.values():
