--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -62,7 +62,9 @@
 
 def play(file, sides, act, plain=0):
     """`act(case)` returns whether the rule held."""
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    ends = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    for number in ends:
+        signal.signal(number, lambda *_: sys.exit(2))
     status, case = 2, None
     try:
         case = Case(os.path.dirname(os.path.abspath(file)), sides,
@@ -88,6 +90,8 @@
     except Exception:
         traceback.print_exc()
     finally:
+        for number in ends:
+            signal.signal(number, signal.SIG_IGN)
         if case is not None:
             case.stop()
     sys.exit(status)
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -15,6 +15,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -102,6 +103,12 @@
     def __init__(self, record, cores=3, plain=0, sides=4):
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="savoryring-review-")
+        self.guard = subprocess.Popen(
+            [sys.executable, "-B", os.path.join(os.path.dirname(__file__),
+                                                "guard.py")],
+            stdin=subprocess.PIPE, text=True, bufsize=1,
+            start_new_session=True)
+        self.tell_guard("folder", self.folder)
         self.processes = {}
         self.binary = os.path.join(ROOT, "target", "bin", "savoryringd")
         if not os.access(self.binary, os.X_OK):
@@ -117,6 +124,9 @@
         self.seeds = ["%s:%d" % (self.ip(name), self.ports["control"])
                       for name in self.fronts[:3]]
 
+    def tell_guard(self, word, value):
+        self.guard.stdin.write("%s %s\n" % (word, value))
+
     @staticmethod
     def find_network():
         for _ in range(50):
@@ -182,12 +192,16 @@
         self.record.write("seeds are now", *machines)
 
     def start(self, machine, role):
+        known = self.processes.get((machine, role))
+        if known is not None and known.poll() is None:
+            raise CannotRun("%s %s runs already" % (machine, role))
         path = self.write_settings(machine, role)
         log = open(os.path.join(self.folder, "%s-%s.log" % (machine, role)), "a")
         self.processes[machine, role] = subprocess.Popen(
             [self.binary, "--settings=" + path], stdout=log, stderr=log,
             cwd=ROOT, env={"PATH": os.environ.get("PATH", ""),
                            "SAVORYRING_SETTINGS": path})
+        self.tell_guard("started", self.processes[machine, role].pid)
         log.close()
         self.record.write("start", machine, role)
 
@@ -210,6 +224,7 @@
         except subprocess.TimeoutExpired:
             process.kill()
             process.wait()
+        self.tell_guard("ended", process.pid)
         self.record.write(how.name, machine, role)
 
     def stop_all(self):
@@ -223,6 +238,11 @@
         if keep:
             shutil.copytree(self.folder, keep, dirs_exist_ok=True)
         shutil.rmtree(self.folder, ignore_errors=True)
+        try:
+            self.guard.stdin.close()
+            self.guard.wait(5)
+        except (OSError, subprocess.TimeoutExpired):
+            pass
 
     def dead(self):
         return [name for name, process in self.processes.items()
