--- a/src/libjobs/job_scheduler.cc
+++ b/src/libjobs/job_scheduler.cc
@@ -133,11 +133,11 @@
   agent_state.last_report = now;
   agent_state.last_report_sent_ns = report.sent_ns();
   agent_state.lease_granted = false;
-  agent_state.service = worker.service();
-  agent_state.draining = worker.draining();
   agent_state.description = worker;
   if (worker.instance().empty())
     return std::nullopt;
+  agent_state.service = worker.service();
+  agent_state.draining = worker.draining();
   const JobWorker* known = table.FindWorker(worker.agent());
   const bool older_incarnation =
       known != nullptr && !IsSameIncarnation(known->description, worker) &&
@@ -362,10 +362,13 @@
   if (worker != nullptr)
     orders.set_counted_crash_ms(worker->counted_crash_ms);
   // A lease granted while a loss is in the log would keep runs going that the
-  // loss releases.
-  const bool current = worker != nullptr && !worker->lost &&
-                       !agent_state.worker_gone && !IsLossInLog(agent_state) &&
-                       worker->description.born_ms() == agent_state.born_ms;
+  // loss releases. A report on no worker or on another incarnation is no sign
+  // of life of this one.
+  const bool current =
+      worker != nullptr && !worker->lost && !agent_state.worker_gone &&
+      !IsLossInLog(agent_state) &&
+      IsSameIncarnation(worker->description, agent_state.description);
+  orders.set_overfilled(!current);
   if (!current)
     return orders;
   if (!agent_state.lease_granted) {
--- a/src/libjobs/job_scheduler_test.cc
+++ b/src/libjobs/job_scheduler_test.cc
@@ -203,6 +203,47 @@
   CHECK(this->OrdersFor("a").overfilled());
 }
 
+// Guards against runs that stay assigned for good to a worker that died while
+// its agent restarted.
+TEST(JobScheduler, AWorkerThatItsRestartedAgentNeverHearsIsDeclaredLost) {
+  this->Deliver(this->Report("a"));
+  this->Submit("j", 1, 1000, 0);
+  this->Decide();
+  const TimePoint lease_end =
+      this->now + JobSchedulerOptions{}.lease + Milliseconds(500);
+  while (this->now < lease_end) {
+    this->now += Milliseconds(500);
+    wire::AgentReport report;
+    report.set_sent_ns(ToNanoseconds(this->now));
+    report.mutable_worker()->set_agent("a");
+    report.set_process_incarnation(2);
+    report.set_listed(false);
+    this->Deliver(report);
+    LONGS_EQUAL(0, this->OrdersFor("a").lease_ms());
+    this->Decide();
+  }
+  CHECK(this->table.FindWorker("a")->lost);
+  LONGS_EQUAL(0, this->CountRunning("j"));
+}
+
+// Guards against a worker that is kept alive by reports of an earlier life.
+TEST(JobScheduler, ReportsOnAnEarlierLifeDoNotExtendTheLease) {
+  wire::AgentReport report = this->Report("a");
+  report.mutable_worker()->set_born_ms(2);
+  this->Deliver(report);
+  this->Submit("j", 1, 1000, 0);
+  this->Decide();
+  const TimePoint lease_end =
+      this->now + JobSchedulerOptions{}.lease + Milliseconds(500);
+  while (this->now < lease_end) {
+    this->now += Milliseconds(500);
+    this->Deliver(this->Report("a"));
+    this->Decide();
+  }
+  CHECK(this->table.FindWorker("a")->lost);
+  LONGS_EQUAL(0, this->CountRunning("j"));
+}
+
 // A worker that was given up may be taken up again with runs that go on.
 TEST(JobScheduler, RunsThatAreNoLongerAssignedCountUntilTheyAreGone) {
   this->Deliver(this->Report("a"));
