--- a/src/libcontrol/control_core.h
+++ b/src/libcontrol/control_core.h
@@ -83,6 +83,12 @@
   /// `unix_ms` is the Unix time, for jobs that start at a given time.
   void OnTick(TimePoint now, std::int64_t unix_ms = 0);
 
+  /// Sets the replicas and other processes that a leader announces itself to,
+  /// and that are asked for the leader.
+  void SetContacts(std::vector<std::string> links) {
+    this->log_replica.SetContacts(std::move(links));
+  }
+
   /// Transfers leadership to another replica before this process exits.
   void TransferLeadership(TimePoint now);
 
--- a/src/libreplication/replica.cc
+++ b/src/libreplication/replica.cc
@@ -20,6 +20,7 @@
 
 Replica::Replica(ReplicaOptions options, StoredReplica stored, TimePoint now)
     : options(std::move(options)),
+      contacts(this->options.configured_ids),
       random(this->options.seed),
       hard_state(std::move(stored.hard_state)) {
   if (stored.snapshot) {
--- a/src/libreplication/replica.h
+++ b/src/libreplication/replica.h
@@ -96,6 +96,10 @@
  public:
   Replica(ReplicaOptions options, StoredReplica stored, TimePoint now);
 
+  /// Replaces the ids that hellos go to, at first `configured_ids`. They decide
+  /// neither who forms a group nor who may join it.
+  void SetContacts(std::vector<std::string> ids);
+
   void Tick(TimePoint now);
   void Receive(const wire::ReplicaMessage& message, TimePoint now);
 
@@ -203,6 +207,7 @@
                     std::vector<MemberId> members,
                     TimePoint now);
   std::size_t CountCaughtUpLearners() const;
+  bool IsConfigured(const std::string& id) const;
   bool MayJoin(const MemberId& peer) const;
   void ProposeMembership(const std::vector<MemberId>& voters);
   void TrackPeer(const MemberId& member, TimePoint now);
@@ -220,6 +225,7 @@
   TimePoint QuorumContactTime() const;
 
   ReplicaOptions options;
+  std::vector<std::string> contacts;  // the ids that hellos go to
   pcg64 random;
   ReplicaRole role = ReplicaRole::kUnformed;
   wire::HardState hard_state;
--- a/src/libreplication/replica_joining.cc
+++ b/src/libreplication/replica_joining.cc
@@ -16,9 +16,13 @@
 
 }  // namespace
 
-// Replicas and other processes that know nothing but the configured ids find
-// the group through these. They may all be outside of it, with empty disks or
-// no disk, so a leader sends them a hello as well.
+void Replica::SetContacts(std::vector<std::string> ids) {
+  this->contacts = std::move(ids);
+}
+
+// Replicas and other processes that know nothing but the contacts find the
+// group through these. They may all be outside of it, with empty disks or no
+// disk, so a leader sends them a hello as well.
 void Replica::SendHello(TimePoint now) {
   this->hello_deadline =
       now + (this->IsLeader() ? kAnnounceInterval : kHelloInterval);
@@ -27,8 +31,11 @@
   // group.
   this->hello_nonce = this->random();
   this->unformed_peers.clear();
-  std::set<std::string> ids{this->options.configured_ids.begin(),
-                            this->options.configured_ids.end()};
+  std::set<std::string> ids{this->contacts.begin(), this->contacts.end()};
+  if (this->role == ReplicaRole::kUnformed) {
+    ids.insert(this->options.configured_ids.begin(),
+               this->options.configured_ids.end());
+  }
   if (!this->leader_hint.empty())
     ids.insert(this->leader_hint);
   for (const std::string& id : ids) {
@@ -61,10 +68,13 @@
     this->TrackPeer(peer, now);
 }
 
+bool Replica::IsConfigured(const std::string& id) const {
+  return std::ranges::find(this->options.configured_ids, id) !=
+         this->options.configured_ids.end();
+}
+
 bool Replica::MayJoin(const MemberId& peer) const {
-  return this->options.open_membership ||
-         std::ranges::find(this->options.configured_ids, peer.id) !=
-             this->options.configured_ids.end();
+  return this->options.open_membership || this->IsConfigured(peer.id);
 }
 
 void Replica::ReceiveHelloReply(const wire::ReplicaMessage& message,
@@ -81,6 +91,8 @@
     return;
   }
   const MemberId peer = ToMemberId(message.from());
+  if (!this->IsConfigured(peer.id))
+    return;
   this->unformed_peers[peer.id] = peer;
   this->TryFormGroup(now);
 }
--- a/src/libreplication/replica_test.cc
+++ b/src/libreplication/replica_test.cc
@@ -339,6 +339,37 @@
     STRCMP_EQUAL(leader.c_str(), this->replicas.at(id)->leader_id().c_str());
 }
 
+// Guards against replicas that find no leader as their seeds are not those that
+// the leader started with.
+TEST(Replica, SeedsThatChangedWhileALeaderRunsLearnWhoLeads) {
+  this->open_membership = true;
+  this->AddReplica("d", 4, StoredVoter());
+  this->AddReplica("e", 5, StoredVoter());
+  this->AddReplica("f", 6, StoredVoter());
+  this->RunFor(Milliseconds(3000));
+  const std::string leader = this->Leader();
+  CHECK(!leader.empty());
+  for (const std::string id : {"d", "e", "f"})
+    this->replicas.at(id)->SetContacts({"g", "h"});
+  this->AddReplica("g", 7);
+  this->AddReplica("h", 8);
+  for (const std::string id : {"g", "h"})
+    this->replicas.at(id)->SetContacts({"g", "h"});
+  this->RunFor(Milliseconds(3000));
+  for (const std::string id : {"g", "h"})
+    STRCMP_EQUAL(leader.c_str(), this->replicas.at(id)->leader_id().c_str());
+}
+
+// Guards against a group that does not form as its seeds change meanwhile.
+TEST(Replica, AGroupFormsOfItsFirstSeedsWhileTheyChange) {
+  this->AddAllReplicas();
+  this->AddReplica("g", 7);
+  for (const std::string id : {"a", "b", "c"})
+    this->replicas.at(id)->SetContacts({"b", "g"});
+  this->RunFor(Milliseconds(3000));
+  CHECK(!this->Leader().empty());
+}
+
 TEST(Replica, AVoterThatLostItsDiskFindsTheLeaderWithoutSeeds) {
   this->open_membership = true;
   this->AddReplica("d", 4, StoredVoter());
--- a/src/savoryringd/control_duty.cc
+++ b/src/savoryringd/control_duty.cc
@@ -243,7 +243,20 @@
   this->core.OnCall(call, this->last_call_token, now);
 }
 
+// The seeds may change while the process runs. Processes that start later know
+// only the new ones.
+void ControlDuty::ApplyReloadedSettings() {
+  if (this->settings_version == this->process->settings_version())
+    return;
+  this->settings_version = this->process->settings_version();
+  const std::vector<std::string> links = this->process->control_links();
+  this->control_caller.AddLinks(links);
+  if (this->process->settings().discovery)
+    this->core.SetContacts(links);
+}
+
 void ControlDuty::OnTick(TimePoint now) {
+  this->ApplyReloadedSettings();
   this->core.OnTick(now, UnixMilliseconds());
   this->control_caller.OnTick(now);
   for (const std::string& address : this->liveness.TakeUnresponsive(now))
--- a/src/savoryringd/control_duty.h
+++ b/src/savoryringd/control_duty.h
@@ -42,6 +42,7 @@
   void OnTick(TimePoint now) override;
   void OnBatchEnd(TimePoint now) override;
 
+  void ApplyReloadedSettings();
   HttpResponse OnHttp(const HttpRequest& request);
   void OnReplicaMessage(const Received& message, TimePoint now);
   void OnHeartbeat(const Received& message, TimePoint now);
@@ -68,6 +69,7 @@
   ControlCore core;
   ControlCaller control_caller;  // forwards this process's HTTP requests
   PeerLiveness liveness;
+  std::uint64_t settings_version = 0;  // version applied last
   TimePoint publish_deadline;
   std::uint64_t last_call_token = 0;
   std::map<std::uint64_t, ReplyCallback> reply_callbacks;  // by call token
