--- a/src/libbase/events.cc
+++ b/src/libbase/events.cc
@@ -60,9 +60,10 @@
               "the leader does not respond; another control replica is asked"},
     EventInfo{kMalformedInput, "malformed-input", kWarning,
               "input from outside can't be parsed; it is rejected or dropped"},
-    EventInfo{
-        kWorkerAnnounced, "worker-announced", kInfo,
-        "this agent's worker started a new incarnation or changed its state"},
+    EventInfo{kWorkerAnnounced, "worker-announced", kInfo,
+              "a worker announced a new incarnation or a change of its state"},
+    EventInfo{kWorkerUnconfirmed, "worker-unconfirmed", kWarning,
+              "an announced worker is not the one on this VM; it is not used"},
     EventInfo{kRequestAnswered, "request-answered", kDebug,
               "a caller got the endpoint's answer"},
     EventInfo{kRequestRefused, "request-refused", kInfo,
--- a/src/libbase/events.h
+++ b/src/libbase/events.h
@@ -27,6 +27,7 @@
   kLeaderSilent = 1104,
   kMalformedInput = 1105,
   kWorkerAnnounced = 1106,
+  kWorkerUnconfirmed = 1107,
   kRequestAnswered = 1201,
   kRequestRefused = 1202,
   kOutcomeUnknown = 1203,
--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -19,6 +19,9 @@
 constexpr Milliseconds kWatchInterval{10};
 // Time allowed for the answer to a watch call, on top of its wait.
 constexpr Milliseconds kWatchAnswerMargin{700};
+// Time allowed for the answer to a confirm call, and for the check of a new
+// connection before it.
+constexpr Milliseconds kConfirmTimeout{1400};
 // A listing requested more than this after the answer to a stop call shows the
 // effect of that stop.
 constexpr Milliseconds kStopVisibleDelay{300};
@@ -56,13 +59,80 @@
                                     TimePoint now) {
   this->NoticePause(now);
   description.set_agent(this->options.agent);
-  if (this->worker && !SameIncarnation(*this->worker, description)) {
-    if (description.born_ms() < this->worker->born_ms())
+  if (this->worker && SameIncarnation(*this->worker, description)) {
+    // A worker keeps its service for life.
+    if (description.service() != this->worker->service())
       return false;
+    this->UpdateWorker(std::move(description), now);
+    this->IssueCalls(now);
+    return true;
+  }
+  if (this->worker && description.born_ms() < this->worker->born_ms())
+    return false;
+  if (this->options.mutations.skip_confirmation) {
+    this->ReplaceWorker(std::move(description), now);
+    this->IssueCalls(now);
+    return true;
+  }
+  if (!this->IsCandidate(description))
+    this->next_confirm = now;
+  else if (this->candidate->draining())
+    description.set_draining(true);
+  this->candidate = std::move(description);
+  this->candidate_deadline = now + this->options.announcement_wait;
+  this->IssueCalls(now);
+  return true;
+}
+
+bool WorkerAgent::IsCandidate(
+    const wire::JobWorkerDescription& description) const {
+  return this->candidate && SameIncarnation(*this->candidate, description);
+}
+
+void WorkerAgent::IssueConfirmCall(TimePoint now) {
+  if (this->candidate && now >= this->candidate_deadline)
+    this->candidate.reset();
+  const bool no_token = this->token == 0;
+  if (!this->candidate || this->confirm_open || no_token ||
+      now < this->next_confirm)
+    return;
+  this->confirm_open = true;
+  this->effects.emplace_back(
+      ConfirmCall{.worker = *this->candidate,
+                  .token = this->token,
+                  .answer_deadline = now + kConfirmTimeout});
+}
+
+void WorkerAgent::OnConfirmResult(const ConfirmCall& call,
+                                  CallOutcome outcome,
+                                  TimePoint now) {
+  this->confirm_open = false;
+  // It may have announced itself again since, and so may another one.
+  const bool is_candidate = this->IsCandidate(call.worker);
+  if (outcome == CallOutcome::kDone) {
+    this->ReplaceWorker(is_candidate ? *this->candidate : call.worker, now);
+  } else {
+    this->next_confirm = now + this->options.retry_delay;
+  }
+  const bool settled = outcome == CallOutcome::kDone ||
+                       outcome == CallOutcome::kOtherIncarnation;
+  if (settled && is_candidate)
+    this->candidate.reset();
+  this->IssueCalls(now);
+}
+
+void WorkerAgent::ReplaceWorker(wire::JobWorkerDescription description,
+                                TimePoint now) {
+  if (this->worker) {
     this->RecordCrash();
     this->ForgetWorker();
     this->held_until = now;
   }
+  this->UpdateWorker(std::move(description), now);
+}
+
+void WorkerAgent::UpdateWorker(wire::JobWorkerDescription description,
+                               TimePoint now) {
   if (this->worker && SameIncarnation(*this->worker, description) &&
       this->worker->draining())
     description.set_draining(true);
@@ -72,8 +142,6 @@
   this->worker = std::move(description);
   this->last_heard = now;
   this->report_pending = this->report_pending || changed;
-  this->IssueCalls(now);
-  return true;
 }
 
 // The leader may have assigned runs for which there is no room any more, and
@@ -96,6 +164,8 @@
 }
 
 void WorkerAgent::OnWorkerLeaving(const std::string& instance, TimePoint now) {
+  if (this->candidate && this->candidate->instance() == instance)
+    this->candidate.reset();
   if (!this->worker || this->worker->instance() != instance)
     return;
   this->worker->set_draining(true);
@@ -203,10 +273,13 @@
 
 void WorkerAgent::OnOrders(const wire::AgentOrders& orders, TimePoint now) {
   this->NoticePause(now);
-  if (orders.term() < this->token || !this->worker)
+  if (orders.term() < this->token)
     return;
   // Orders without a lease also carry the token, which every call needs.
   this->token = orders.term();
+  this->IssueConfirmCall(now);
+  if (!this->worker)
+    return;
   if (this->crash && orders.counted_crash_ms() >= this->crash->born_ms())
     this->crash.reset();
   if (this->IsOvertaken(orders, now))
@@ -308,6 +381,7 @@
 
 void WorkerAgent::IssueCalls(TimePoint now) {
   this->NoticePause(now);
+  this->IssueConfirmCall(now);
   if (!this->worker)
     return;
   this->EndExpiredLease(now);
--- a/src/libjobs/worker_agent.h
+++ b/src/libjobs/worker_agent.h
@@ -31,6 +31,8 @@
   bool keep_orders_past_lease = false;
   /// Starts are issued to a worker that has shrunk before the leader knows.
   bool start_when_shrunk = false;
+  /// Any announcement of a later incarnation replaces the worker.
+  bool skip_confirmation = false;
 };
 
 struct WorkerAgentOptions {
@@ -95,6 +97,14 @@
   std::vector<wire::TaskEnd> ended;
 };
 
+/// Asks the worker whether it is the incarnation that was announced. Changes
+/// nothing on the worker.
+struct ConfirmCall {
+  wire::JobWorkerDescription worker;
+  std::uint64_t token = 0;
+  TimePoint answer_deadline;
+};
+
 /// Each call carries `born_ms`, the worker incarnation that it is meant for:
 /// the worker may have been replaced by the time the call is made or answered.
 /// `token` is the fencing token, the leader's term.
@@ -134,8 +144,12 @@
 struct SendReport {
   wire::AgentReport report;
 };
-using AgentEffect =
-    std::variant<StartCall, StopCall, WatchCall, ThrottleCall, SendReport>;
+using AgentEffect = std::variant<ConfirmCall,
+                                 StartCall,
+                                 StopCall,
+                                 WatchCall,
+                                 ThrottleCall,
+                                 SendReport>;
 
 /// For the log: a run that is stopped because the worker rejected its start and
 /// an earlier call may have started it.
@@ -148,8 +162,15 @@
  public:
   WorkerAgent(WorkerAgentOptions options, TimePoint now);
 
-  /// The worker announced itself. Returns false for an earlier incarnation.
+  /// A worker announced itself. Anyone may send an announcement, so another
+  /// incarnation than the known one counts only once the worker confirms it.
+  /// Returns false for an announcement that is not used: one of an earlier
+  /// incarnation, or of the known one with another service.
   bool OnWorkerAnnounced(wire::JobWorkerDescription worker, TimePoint now);
+  /// kDone: the worker is this incarnation. kOtherIncarnation: it is not.
+  void OnConfirmResult(const ConfirmCall& call,
+                       CallOutcome outcome,
+                       TimePoint now);
   /// The worker announced that it is shutting down.
   void OnWorkerLeaving(const std::string& instance, TimePoint now);
   void OnOrders(const wire::AgentOrders& orders, TimePoint now);
@@ -212,6 +233,10 @@
   };
 
   bool IsCurrentIncarnation(std::int64_t born_ms) const;
+  bool IsCandidate(const wire::JobWorkerDescription& description) const;
+  void IssueConfirmCall(TimePoint now);
+  void ReplaceWorker(wire::JobWorkerDescription description, TimePoint now);
+  void UpdateWorker(wire::JobWorkerDescription description, TimePoint now);
   void ForgetWorker();
   void ForgetOrders();
   void EndExpiredLease(TimePoint now);
@@ -249,6 +274,11 @@
 
   WorkerAgentOptions options;
   std::optional<wire::JobWorkerDescription> worker;
+  // The latest announced incarnation that the worker has not confirmed.
+  std::optional<wire::JobWorkerDescription> candidate;
+  TimePoint candidate_deadline;  // it is no longer asked for after this
+  bool confirm_open = false;
+  TimePoint next_confirm;
   std::uint64_t token = 0;  // fencing token: the leader's term
   TimePoint lease_end;
   std::uint64_t acknowledged = 0;            // ends up to this are committed
--- a/src/libjobs/worker_agent_test.cc
+++ b/src/libjobs/worker_agent_test.cc
@@ -11,6 +11,7 @@
 TEST_GROUP(WorkerAgent) {
   TimePoint now = TimePoint(std::chrono::seconds(100));
   WorkerAgent agent{{.agent = "a"}, TimePoint(std::chrono::seconds(100))};
+  std::vector<ConfirmCall> confirms;
   std::vector<StartCall> starts;
   std::vector<StopCall> stops;
   std::vector<WatchCall> watches;
@@ -19,7 +20,9 @@
 
   void Collect() {
     for (AgentEffect& effect : this->agent.TakeEffects()) {
-      if (const auto* start = std::get_if<StartCall>(&effect))
+      if (const auto* confirm = std::get_if<ConfirmCall>(&effect))
+        this->confirms.push_back(*confirm);
+      else if (const auto* start = std::get_if<StartCall>(&effect))
         this->starts.push_back(*start);
       else if (const auto* stop = std::get_if<StopCall>(&effect))
         this->stops.push_back(*stop);
@@ -36,13 +39,41 @@
     this->agent.OnTick(this->now);
     this->Collect();
   }
+  // Orders without a lease, which every agent gets from the first leader that
+  // it reports to.
+  void DeliverToken() {
+    wire::AgentOrders orders;
+    orders.set_term(5);
+    orders.set_echoed_ns(ToNanoseconds(this->now));
+    this->agent.OnOrders(orders, this->now);
+    this->Collect();
+  }
   void Announce(std::int64_t born = 1) {
+    if (!this->agent.HasWorker())
+      this->DeliverToken();
     wire::JobWorkerDescription worker;
     worker.set_instance("i-1");
     worker.set_born_ms(born);
     worker.set_cpu_milli(16000);
     this->agent.OnWorkerAnnounced(worker, this->now);
     this->Collect();
+    this->ConfirmAll();
+  }
+  // An announcement that the worker has not confirmed.
+  void AnnounceOther(std::int64_t born = 99, bool draining = false) {
+    wire::JobWorkerDescription worker;
+    worker.set_instance("i-other");
+    worker.set_born_ms(born);
+    worker.set_service("zz90k");
+    worker.set_draining(draining);
+    this->agent.OnWorkerAnnounced(worker, this->now);
+    this->Collect();
+  }
+  void ConfirmAll(CallOutcome outcome = CallOutcome::kDone) {
+    const std::vector<ConfirmCall> calls = std::exchange(this->confirms, {});
+    for (const ConfirmCall& call : calls)
+      this->agent.OnConfirmResult(call, outcome, this->now);
+    this->Collect();
   }
   wire::AgentOrders Orders() {
     wire::AgentOrders orders;
@@ -126,6 +157,87 @@
   }
 };
 
+// Guards against runs that start elsewhere as somebody else announced a worker.
+TEST(WorkerAgent, AnAnnouncementOfAnotherWriterDoesNotReplaceTheWorker) {
+  this->Announce();
+  this->DeliverOrders(this->OrderStart("j", 1));
+  this->AnswerStart(0, CallOutcome::kDone);
+  this->AnswerWatch({.running = {this->Running("j", 1)}});
+  this->AnnounceOther();
+  LONGS_EQUAL(1, this->confirms.size());
+  LONGS_EQUAL(5, this->confirms[0].token);
+  this->ConfirmAll(CallOutcome::kOtherIncarnation);
+  this->AdvanceTime(Milliseconds(500));
+  const wire::AgentReport& report = this->reports.back();
+  LONGS_EQUAL(1, report.worker().born_ms());
+  LONGS_EQUAL(1, report.runs_size());
+  CHECK(!report.worker_gone());
+  CHECK(!report.has_crash());
+  CHECK(this->confirms.empty());
+  this->DeliverOrders(this->OrderStart("k", 1));
+  LONGS_EQUAL(2, this->starts.size());
+}
+
+TEST(WorkerAgent, AnUnconfirmedWorkerIsNotReported) {
+  this->DeliverToken();
+  this->AnnounceOther();
+  this->AdvanceTime(Milliseconds(500));
+  STRCMP_EQUAL("", this->reports.back().worker().instance().c_str());
+  this->ConfirmAll(CallOutcome::kOtherIncarnation);
+  this->Announce();
+  this->AdvanceTime(Milliseconds(10));
+  STRCMP_EQUAL("i-1", this->reports.back().worker().instance().c_str());
+}
+
+// The worker does nothing on a call with a lower token than it has seen.
+TEST(WorkerAgent, AWorkerIsConfirmedOnceTheAgentHasAToken) {
+  this->AnnounceOther();
+  this->AdvanceTime(Milliseconds(500));
+  CHECK(this->confirms.empty());
+  this->DeliverToken();
+  LONGS_EQUAL(1, this->confirms.size());
+  this->ConfirmAll();
+  LONGS_EQUAL(99, this->agent.description()->born_ms());
+}
+
+TEST(WorkerAgent, ALifeThatDoesNotAnswerIsAskedForUntilItsAnnouncementIsOld) {
+  this->Announce();
+  this->AnnounceOther();
+  this->ConfirmAll(CallOutcome::kNoAnswer);
+  this->AdvanceTime(Milliseconds(100));
+  CHECK(this->confirms.empty());
+  this->AdvanceTime(Milliseconds(50));
+  LONGS_EQUAL(1, this->confirms.size());
+  this->ConfirmAll(CallOutcome::kConnectionRefused);
+  this->AdvanceTime(Milliseconds(1400));
+  CHECK(this->confirms.empty());
+  LONGS_EQUAL(1, this->agent.description()->born_ms());
+}
+
+// Announcements that come meanwhile.
+TEST(WorkerAgent, AConfirmedLifeIsTakenUpBesideAnAnnouncementOfAnotherWriter) {
+  this->Announce();
+  this->AnnounceOther(50, true);
+  this->AnnounceOther(50, false);
+  this->AnnounceOther(99);
+  this->ConfirmAll();
+  LONGS_EQUAL(50, this->agent.description()->born_ms());
+  CHECK(this->agent.description()->draining());
+  LONGS_EQUAL(1, this->confirms.size());
+  this->ConfirmAll(CallOutcome::kOtherIncarnation);
+  LONGS_EQUAL(50, this->agent.description()->born_ms());
+}
+
+TEST(WorkerAgent, AWorkerKeepsItsServiceForLife) {
+  this->Announce();
+  wire::JobWorkerDescription foreign = *this->agent.description();
+  foreign.set_service("zz90k");
+  foreign.set_draining(true);
+  CHECK(!this->agent.OnWorkerAnnounced(foreign, this->now));
+  STRCMP_EQUAL("", this->agent.description()->service().c_str());
+  CHECK(!this->agent.description()->draining());
+}
+
 TEST(WorkerAgent, StartsOnlyUnderALease) {
   this->Announce();
   wire::AgentOrders orders = this->OrderStart("j", 1);
@@ -846,9 +958,9 @@
   CHECK(this->starts.empty());
 }
 
-// An agent started while there is no leader has no token for calls to its
-// worker and reports the worker as gone once the assumed hold expires. Orders
-// without a lease from a leader found later must make it call the worker again.
+// An agent whose worker has not answered reports it as gone once the assumed
+// hold expires. Orders without a lease from a leader found later must make it
+// call the worker again.
 TEST(WorkerAgent, GoneWorkerIsRecoveredWhenALeaderIsFoundLate) {
   this->Announce();
   this->AdvanceTime(Milliseconds(5000));
--- a/src/savoryringd/agent_duty.cc
+++ b/src/savoryringd/agent_duty.cc
@@ -18,6 +18,13 @@
   return {.agent = settings.id, .hold_duration = settings.timing.worker_hold};
 }
 
+void LogUnconfirmed(const wire::JobWorkerDescription& worker) {
+  LogEvent(Event::kWorkerUnconfirmed,
+           {{"worker", worker.instance()},
+            {"born_ms", std::to_string(worker.born_ms())},
+            {"service", worker.service()}});
+}
+
 }  // namespace
 
 AgentDuty::AgentDuty(Process& process, std::unique_ptr<LocalWorker> worker)
@@ -122,6 +129,15 @@
   for (AgentEffect& effect : this->core.TakeEffects()) {
     if (auto* report = std::get_if<SendReport>(&effect)) {
       this->SendAgentReport(std::move(*report), now);
+    } else if (const auto* confirm = std::get_if<ConfirmCall>(&effect)) {
+      this->call_pool.Run([this, call = *confirm] {
+        const CallOutcome outcome = this->worker->Confirm(call);
+        if (outcome == CallOutcome::kOtherIncarnation)
+          LogUnconfirmed(call.worker);
+        this->loop.Post([this, call, outcome] {
+          this->core.OnConfirmResult(call, outcome, BootClock::now());
+        });
+      });
     } else if (const auto* start = std::get_if<StartCall>(&effect)) {
       this->call_pool.Run([this, call = *start] {
         const CallOutcome outcome = this->worker->Start(call);
--- a/src/savoryringd/local_worker.h
+++ b/src/savoryringd/local_worker.h
@@ -10,6 +10,8 @@
 class LocalWorker {
  public:
   virtual ~LocalWorker() = default;
+  /// Calls with the worker's `born_ms` are possible once the outcome is kDone.
+  virtual CallOutcome Confirm(const ConfirmCall& call) = 0;
   virtual CallOutcome Start(const StartCall& call) = 0;
   virtual CallOutcome Stop(const StopCall& call) = 0;
   /// Sets `listing` if the outcome is kDone.
--- a/testsuite/schedule/fault_driver.cc
+++ b/testsuite/schedule/fault_driver.cc
@@ -271,6 +271,11 @@
             ->worker.Restart(
                 simulation.RandomTime(Milliseconds(100), Milliseconds(4000)));
       });
+  this->RepeatFault(this->plan.lose_worker_beside_agent, Milliseconds(1000),
+                    [this] { this->LoseWorkerBesideAgent(); });
+  this->Repeat(this->plan.foreign_announcement, [this, &simulation] {
+    PickRandom(simulation, this->estate->agents)->HearForeignAnnouncement();
+  });
   this->Repeat(this->plan.drain_worker, [this, &simulation] {
     PickRandom(simulation, this->estate->agents)->worker.Drain();
   });
@@ -302,6 +307,19 @@
                     [this] { this->ReplaceRandomControl(); });
 }
 
+void FaultDriver::LoseWorkerBesideAgent() {
+  Simulation& simulation = this->estate->simulation;
+  AgentNode* agent = PickRandom(simulation, this->estate->agents);
+  agent->worker.Restart(
+      simulation.RandomTime(Milliseconds(15'000), Milliseconds(30'000)));
+  simulation.RunAfter(
+      simulation.RandomTime(Milliseconds(50), Milliseconds(500)),
+      [this, agent] {
+        agent->Kill();
+        this->RestartSoon(agent, Milliseconds(500));
+      });
+}
+
 // The freeze is longer than the leader's lease in the group and, mostly, too
 // short for the election of another leader.
 void FaultDriver::FreezeLeaderAtLoss() {
--- a/testsuite/schedule/fault_driver.h
+++ b/testsuite/schedule/fault_driver.h
@@ -26,10 +26,14 @@
   Milliseconds isolate_agent{0};   ///< Sometimes for longer than a lease.
   Milliseconds restart_worker{0};  ///< Starts a new worker incarnation.
   Milliseconds drain_worker{0};    ///< Announces the end of a worker first.
-  Milliseconds fail_starts{0};     ///< A worker fails all that it starts.
-  Milliseconds ignore_starts{0};   ///< A worker answers no start calls.
-  Milliseconds reject_starts{0};   ///< A worker rejects start calls.
-  Milliseconds shrink_worker{0};   ///< Takes half of its room, for seconds.
+  /// A worker dies for long, and its agent restarts before it has noticed.
+  Milliseconds lose_worker_beside_agent{0};
+  /// An agent hears an announcement that is not from its worker.
+  Milliseconds foreign_announcement{0};
+  Milliseconds fail_starts{0};    ///< A worker fails all that it starts.
+  Milliseconds ignore_starts{0};  ///< A worker answers no start calls.
+  Milliseconds reject_starts{0};  ///< A worker rejects start calls.
+  Milliseconds shrink_worker{0};  ///< Takes half of its room, for seconds.
   /// Isolates an agent until its worker is given up, and freezes the leader
   /// while that loss is being committed.
   Milliseconds freeze_leader_at_loss{0};
@@ -92,6 +96,7 @@
   Node* RandomNode();
   void LoseRandomDisk();
   void LosePower();
+  void LoseWorkerBesideAgent();
   void FreezeLeaderAtLoss();
   void ReplaceRandomControl();
   void RetireWhenGroupIsComplete(ControlNode* node);
--- a/testsuite/schedule/job_mutation_test.cc
+++ b/testsuite/schedule/job_mutation_test.cc
@@ -56,6 +56,11 @@
                           WorkersThatStartAgain()));
 }
 
+TEST(JobMutation, AnnouncementsThatTheWorkerDoesNotConfirm) {
+  CHECK(FindsJobViolation({.agent = {.skip_confirmation = true}}, "twice",
+                          {.foreign_announcement = Milliseconds(1500)}));
+}
+
 TEST(JobMutation, OrdersThatOutliveTheirLease) {
   CHECK(FindsJobViolation({.agent = {.keep_orders_past_lease = true}}, "twice",
                           LongAgentIsolation()));
--- a/testsuite/schedule/job_nodes.cc
+++ b/testsuite/schedule/job_nodes.cc
@@ -318,6 +318,8 @@
       std::make_unique<LeaderContact>(this->test_estate->ControlSeeds());
   this->clock_reading = {};
   this->known_born_ms = 0;
+  this->announced_clock_reading = {};
+  this->announced_born_ms = 0;
 }
 
 void AgentNode::OnKill() {
@@ -341,12 +343,33 @@
                                   TimePoint worker_time) {
   if (description.born_ms() < this->known_born_ms)
     return;
-  this->known_born_ms = description.born_ms();
-  this->clock_reading = {.worker = worker_time, .own = this->LocalNow()};
+  const ClockReading reading{.worker = worker_time, .own = this->LocalNow()};
+  if (description.born_ms() == this->known_born_ms) {
+    this->clock_reading = reading;
+  } else {
+    this->announced_born_ms = description.born_ms();
+    this->announced_clock_reading = reading;
+  }
   this->core->OnWorkerAnnounced(description, this->LocalNow());
   this->RunEffects();
 }
 
+void AgentNode::HearForeignAnnouncement() {
+  wire::JobWorkerDescription description;
+  description.set_instance("i-foreign");
+  // Later than that of any worker.
+  constexpr Milliseconds kAhead{3'600'000};
+  description.set_born_ms(ToMilliseconds(this->simulation().now() + kAhead));
+  constexpr double kKnownServiceRate = 0.5;
+  description.set_service(
+      this->simulation().Chance(kKnownServiceRate) ? kService : "elsewhere");
+  description.set_cpu_milli(kWorkerCapacity.cpu_milli);
+  description.set_memory_mb(kWorkerCapacity.memory_mb);
+  this->RunWhenUnfrozen([this, description] {
+    this->OnWorkerAnnounced(description, kFirstWorkerTime);
+  });
+}
+
 void AgentNode::OnWorkerLeaving(const std::string& instance) {
   this->RunWhenUnfrozen([this, instance] {
     this->core->OnWorkerLeaving(instance, this->LocalNow());
@@ -411,11 +434,33 @@
   };
 }
 
+void AgentNode::Confirm(const ConfirmCall& call) {
+  const std::int64_t born_ms = call.worker.born_ms();
+  this->CallWorker(
+      born_ms,
+      [token = call.token](ModelWorker& model, TimePoint now) {
+        WorkerListing listing;
+        return model.Watch({.token = token}, now, listing);
+      },
+      call.answer_deadline,
+      [this, call, born_ms](CallOutcome outcome) {
+        if (outcome == CallOutcome::kDone && this->announced_born_ms != born_ms)
+          outcome = CallOutcome::kNoAnswer;
+        if (outcome == CallOutcome::kDone) {
+          this->known_born_ms = born_ms;
+          this->clock_reading = this->announced_clock_reading;
+        }
+        this->core->OnConfirmResult(call, outcome, this->LocalNow());
+      });
+}
+
 void AgentNode::RunEffects() {
   const TimePoint now = this->LocalNow();
   for (AgentEffect& effect : this->core->TakeEffects()) {
     if (auto* report = std::get_if<SendReport>(&effect)) {
       this->Send(std::move(report->report));
+    } else if (const auto* confirm = std::get_if<ConfirmCall>(&effect)) {
+      this->Confirm(*confirm);
     } else if (const auto* start = std::get_if<StartCall>(&effect)) {
       StartCall sent = *start;
       sent.hold_until = this->WorkerTime(start->hold_until);
--- a/testsuite/schedule/job_nodes.h
+++ b/testsuite/schedule/job_nodes.h
@@ -102,6 +102,8 @@
   void OnWorkerAnnounced(const wire::JobWorkerDescription& description,
                          TimePoint worker_time);
   void OnWorkerLeaving(const std::string& instance);
+  /// Hears an announcement of another writer, for a service that may be known.
+  void HearForeignAnnouncement();
 
   WorkerHost worker;
 
@@ -118,6 +120,7 @@
   };
   void RunEffects();
   void Send(wire::AgentReport report);
+  void Confirm(const ConfirmCall& call);
   void Watch(const WatchCall& call);
   TimePoint WorkerTime(TimePoint time) const;
   /// Calls the worker; the outcome is kNoAnswer if none arrives by `deadline`.
@@ -133,6 +136,9 @@
   std::unique_ptr<LeaderContact> contact;
   ClockReading clock_reading;
   std::int64_t known_born_ms = 0;
+  // Of the latest announcement of another life.
+  ClockReading announced_clock_reading;
+  std::int64_t announced_born_ms = 0;
 };
 
 class GatewayNode : public ControlClientNode {
--- a/testsuite/schedule/job_schedule_test.cc
+++ b/testsuite/schedule/job_schedule_test.cc
@@ -117,6 +117,32 @@
                     {.first_lasting_jobs = 12});
 }
 
+// Guards against runs that stay assigned to a worker that its restarted agent
+// never hears.
+TEST(JobSchedule, LastingTasksRunAfterWorkersWereLostBesideTheirAgents) {
+  ExpectNoViolation(3, {.lose_worker_beside_agent = Milliseconds(13'000)}, 6,
+                    {.mixed_job = Milliseconds(0),
+                     .cancellation = Milliseconds(0),
+                     .first_lasting_jobs = 6},
+                    8);
+}
+
+// Guards against runs that start twice as somebody else announced a worker.
+TEST(JobSchedule, AnnouncementsOfAnotherWriterChangeNothing) {
+  ExpectNoViolation(3, {.foreign_announcement = Milliseconds(1500)}, 6,
+                    {.short_job = Milliseconds(400)});
+}
+
+TEST(JobSchedule, AnnouncementsOfAnotherWriterBesideRestarts) {
+  ExpectNoViolation(3,
+                    {.kill_control = Milliseconds(8000),
+                     .kill_agent = Milliseconds(4000),
+                     .restart_worker = Milliseconds(4000),
+                     .drain_worker = Milliseconds(7000),
+                     .foreign_announcement = Milliseconds(500)},
+                    12, {.short_job = Milliseconds(400)});
+}
+
 TEST(JobSchedule, LastingTasksRunBesideShortJobs) {
   ExpectNoViolation(3, {.drain_worker = Milliseconds(6000)}, 3,
                     {.mixed_job = Milliseconds(0),
