--- a/src/libtransport/link.cc
+++ b/src/libtransport/link.cc
@@ -5,6 +5,7 @@
 
 #include <utility>
 
+#include "libbase/address.h"
 #include "libbase/checksum.h"
 #include "libbase/events.h"
 #include "savoryring/result.h"
@@ -46,10 +47,11 @@
 void Link::Send(const std::string& address,
                 wire::MessageKind kind,
                 const std::string& body) {
+  zmq::socket_t* connection = this->Connection(address);
+  if (connection == nullptr)
+    return;
   const std::string frame = this->EncodeEnvelope(kind, body);
-  const auto sent = this->Connection(address).send(zmq::buffer(frame),
-                                                   zmq::send_flags::dontwait);
-  if (sent)
+  if (connection->send(zmq::buffer(frame), zmq::send_flags::dontwait))
     this->CountSent(frame.size());
 }
 
@@ -105,10 +107,17 @@
   [[maybe_unused]] const auto ignored = write(this->wake_fd, &one, sizeof(one));
 }
 
-zmq::socket_t& Link::Connection(const std::string& address) {
+// Addresses may come from other processes. Returns null if this is none: ZeroMQ
+// would take a port that is out of range for another one.
+zmq::socket_t* Link::Connection(const std::string& address) {
   const auto found = this->connections.find(address);
   if (found != this->connections.end())
-    return found->second;
+    return &found->second;
+  if (!IsAddress(address)) {
+    this->counts.dropped += 1;
+    LogEvent(Event::kMalformedInput, {{"from", "peer"}, {"address", address}});
+    return nullptr;
+  }
   zmq::socket_t socket(this->context, zmq::socket_type::dealer);
   socket.set(zmq::sockopt::linger, 0);
   socket.set(zmq::sockopt::sndhwm, kHighWaterMark);
@@ -117,7 +126,7 @@
   socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
   socket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
   socket.connect("tcp://" + address);
-  return this->connections.emplace(address, std::move(socket)).first->second;
+  return &this->connections.emplace(address, std::move(socket)).first->second;
 }
 
 std::string Link::EncodeEnvelope(wire::MessageKind kind,
--- a/src/libtransport/link.h
+++ b/src/libtransport/link.h
@@ -44,8 +44,9 @@
   Link(const Link&) = delete;
   Link& operator=(const Link&) = delete;
 
-  /// Sends to a peer's listening address. A message that can't be queued is
-  /// dropped; the protocols above resend unacknowledged messages.
+  /// Sends to a peer's listening address. A message that can't be queued, or
+  /// whose address is none, is dropped; the protocols above resend
+  /// unacknowledged messages.
   void Send(const std::string& address,
             wire::MessageKind kind,
             const std::string& body);
@@ -78,7 +79,7 @@
   const Counters& counters() const { return this->counts; }
 
  private:
-  zmq::socket_t& Connection(const std::string& address);
+  zmq::socket_t* Connection(const std::string& address);
   std::string EncodeEnvelope(wire::MessageKind kind,
                              const std::string& body) const;
   void CountSent(std::size_t bytes);
