--- a/src/libbase/json_checker.cc
+++ b/src/libbase/json_checker.cc
@@ -1,6 +1,7 @@
 #include "libbase/json_checker.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace savoryring {
@@ -8,6 +9,31 @@
 
 using nlohmann::json;
 
+// More than any valid document needs. A deeply nested text would take many
+// times its size in memory, and most functions on a parsed one are recursive.
+constexpr int kMaxJsonDepth = 100;
+
+// As far as the text is valid, brackets outside of strings are those that a
+// parser sees.
+bool IsNestedTooDeeply(std::string_view text) {
+  int depth = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (in_string && c == '\\')
+      ++i;
+    else if (c == '"')
+      in_string = !in_string;
+    else if (!in_string && (c == '[' || c == '{'))
+      ++depth;
+    else if (!in_string && (c == ']' || c == '}'))
+      --depth;
+    if (depth > kMaxJsonDepth)
+      return true;
+  }
+  return false;
+}
+
 const json& EmptyObject() {
   static const json empty = json::object();
   return empty;
@@ -16,6 +42,11 @@
 }  // namespace
 
 json ParseJson(std::string_view text) {
+  if (IsNestedTooDeeply(text)) {
+    throw Error(
+        ResultCode::kMalformedJson,
+        "nested more than " + std::to_string(kMaxJsonDepth) + " levels deep");
+  }
   try {
     return json::parse(text);
   } catch (const json::exception& failure) {
--- a/src/libbase/json_checker.h
+++ b/src/libbase/json_checker.h
@@ -16,7 +16,7 @@
 namespace savoryring {
 
 /// Parses a JSON text. Throws Error (kMalformedJson) with the byte offset of
-/// the syntax error.
+/// the syntax error, or if the text is nested more than 100 levels deep.
 nlohmann::json ParseJson(std::string_view text);
 
 /// Validation problems of one document; its ObjectViews append to it.
--- a/src/savoryringd/worker.cc
+++ b/src/savoryringd/worker.cc
@@ -1,8 +1,10 @@
 #include "savoryringd/worker.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "libbase/json_checker.h"
 #include "libtransport/http.h"
 
 namespace savoryring {
@@ -19,8 +21,16 @@
   json body;
 };
 
-// Returns nullopt if the worker does not answer. A body that is not JSON is
-// returned as a discarded value, which is neither an object nor an array.
+// Null if the body is not JSON.
+json ParseBody(const std::string& body) {
+  try {
+    return ParseJson(body);
+  } catch (const Error&) {
+    return nullptr;
+  }
+}
+
+// Returns nullopt if the worker does not answer.
 std::optional<JsonResponse> CallWorker(const std::string& url,
                                        const std::string& method,
                                        const std::string& path,
@@ -35,8 +45,8 @@
   }
   try {
     const HttpResponse response = SendHttp(url, request, kTimeout);
-    json parsed = json::parse(response.body, nullptr, false);
-    return JsonResponse{.status = response.status, .body = std::move(parsed)};
+    return JsonResponse{.status = response.status,
+                        .body = ParseBody(response.body)};
   } catch (const Error&) {
     return std::nullopt;
   }
@@ -54,11 +64,18 @@
                                                      : "";
 }
 
+// Zero if there is no number that the type can hold.
 template <typename Number>
 Number NumberIn(const json& object, const char* key) {
   const auto found = object.find(key);
-  return found != object.end() && found->is_number() ? found->get<Number>()
-                                                     : Number{};
+  if (found == object.end() || !found->is_number())
+    return Number{};
+  const double number = found->get<double>();
+  // As a double, the limit may round up to a number that does not fit.
+  const bool fits =
+      number >= 0 &&
+      number < static_cast<double>(std::numeric_limits<Number>::max());
+  return fits ? found->get<Number>() : Number{};
 }
 
 wire::TaskRunState ParseState(const std::string& name) {
