--- a/src/libjobs/job_placement.cc
+++ b/src/libjobs/job_placement.cc
@@ -169,6 +169,7 @@
   }
   for (const ReadyStep& ready_step : ready_steps)
     place(ready_step.key, false);
+  command.set_whole_gangs(command.starts_size() > 0);
   for (const wire::TaskStart& start : command.starts()) {
     this->crash_isolation.OnRunAssigned(
         start.agent(), table.KeyOf(start.task()).step.sequence, now);
@@ -455,7 +456,7 @@
   }
   wire::TaskStart* start = command.add_starts();
   *start->mutable_task() = table.NameOf(key);
-  start->set_run(table.Task(key).run + 1);
+  start->set_run(table.NextRun(key));
   start->set_agent(worker.agent());
   start->set_born_ms(worker.born_ms());
 }
--- a/src/libjobs/job_scheduler_test.cc
+++ b/src/libjobs/job_scheduler_test.cc
@@ -71,6 +71,10 @@
     const Job* found = this->table.Find(job);
     return found == nullptr ? 0 : found->assigned;
   }
+  // The run number of a task of the first job.
+  std::uint32_t RunOf(std::uint32_t index) {
+    return this->table.Task({.step = {.sequence = 1}, .index = index}).run;
+  }
   // Adds the end of the first run of the job's only task.
   void AddDoneEnd(wire::AgentReport & report, const std::string& job) {
     wire::TaskEnd* end = report.mutable_ends()->add_ends();
@@ -273,6 +277,50 @@
   LONGS_EQUAL(1, this->CountRunning("k"));
 }
 
+// Guards against gangs of which a part is started as one of their workers has
+// begun to drain since the decision.
+TEST(JobScheduler, AGangIsStartedAsAWholeOrNotAtAll) {
+  for (const std::string agent : {"a", "b", "c"})
+    this->Deliver(this->Report(agent));
+  this->Submit("gang", 3, 3000, 0,
+               [](wire::JobStep* step) { step->set_gang(true); });
+  const auto command =
+      this->scheduler.Decide(this->table, 0, this->group_time, this->now);
+  LONGS_EQUAL(3, command->starts_size());
+  wire::JobCommand draining;
+  *draining.add_workers() = this->Report("b").worker();
+  draining.mutable_workers(0)->set_draining(true);
+  this->Apply(draining);
+  this->Apply(*command);
+  LONGS_EQUAL(0, this->CountRunning("gang"));
+  this->Deliver(this->Report("d"));
+  this->Decide();
+  LONGS_EQUAL(3, this->CountRunning("gang"));
+  for (const std::uint32_t index : {0U, 1U, 2U})
+    LONGS_EQUAL(1, this->RunOf(index));
+}
+
+// Guards against members that end alone for good, each run after the other.
+TEST(JobScheduler, AGangThatWasStartedInPartGetsEqualRunNumbers) {
+  for (const std::string agent : {"a", "b"})
+    this->Deliver(this->Report(agent));
+  this->Submit("gang", 2, 3000, 0,
+               [](wire::JobStep* step) { step->set_gang(true); });
+  wire::JobCommand part;
+  wire::TaskStart* start = part.add_starts();
+  start->mutable_task()->set_job("gang");
+  start->set_run(1);
+  start->set_agent("a");
+  start->set_born_ms(1);
+  this->Apply(part);
+  LONGS_EQUAL(1, this->OrdersFor("a").stops_size());
+  this->ApplyEnd("a", {.step = {.sequence = 1}}, wire::RUN_END_REJECTED);
+  this->Decide();
+  LONGS_EQUAL(2, this->CountRunning("gang"));
+  LONGS_EQUAL(2, this->RunOf(0));
+  LONGS_EQUAL(2, this->RunOf(1));
+}
+
 // Their worker may list their end later than that of the first.
 TEST(JobScheduler, MembersOfADoneGangCountUntilTheirEndIsListed) {
   this->Deliver(this->Report("a"));
--- a/src/libjobs/job_table.cc
+++ b/src/libjobs/job_table.cc
@@ -45,8 +45,7 @@
     this->GiveUpJob(give_up);
   for (const wire::OccurrenceStart& start : command.occurrences())
     this->BeginOccurrence(start);
-  for (const wire::TaskStart& start : command.starts())
-    this->StartRun(start);
+  this->StartRuns(command);
   this->ExpireEndedJobs();
   return result;
 }
@@ -296,12 +295,57 @@
 
 // --- Runs ---
 
+std::uint32_t JobTable::NextRun(const TaskKey& key) const {
+  if (!this->Step(key.step).gang())
+    return this->Task(key).run + 1;
+  std::uint32_t highest = 0;
+  for (const JobTask& member : this->State(key.step).tasks)
+    highest = std::max(highest, member.run);
+  return highest + 1;
+}
+
+void JobTable::StartRuns(const wire::JobCommand& command) {
+  std::map<StepKey, std::vector<wire::TaskStart>> gangs;
+  for (const wire::TaskStart& start : command.starts()) {
+    const TaskKey key = this->KeyOf(start.task());
+    if (key.step.sequence == 0 || !this->IsReady(key.step))
+      continue;
+    if (command.whole_gangs() && this->Step(key.step).gang()) {
+      gangs[key.step].push_back(start);
+      continue;
+    }
+    if (start.run() == this->Task(key).run + 1 &&
+        this->CanStart(start, key, {}))
+      this->StartRun(start, key);
+  }
+  for (const auto& [step, starts] : gangs)
+    this->StartGang(step, starts);
+}
+
+// A worker may have changed since the decision. A gang without one of its
+// members would wait for it in vain.
+void JobTable::StartGang(const StepKey& step_key,
+                         const std::vector<wire::TaskStart>& starts) {
+  std::map<std::string, std::uint32_t> planned;  // members, by agent
+  const bool whole = starts.size() == this->State(step_key).tasks.size();
+  const bool all_can_start =
+      whole && std::ranges::all_of(starts, [&](const wire::TaskStart& start) {
+        const TaskKey key = this->KeyOf(start.task());
+        return start.run() == this->NextRun(key) &&
+               this->CanStart(start, key, planned[start.agent()]++);
+      });
+  if (!all_can_start)
+    return;
+  for (const wire::TaskStart& start : starts)
+    this->StartRun(start, this->KeyOf(start.task()));
+}
+
+// `planned`: other tasks of the step that the same command starts on the
+// worker.
 bool JobTable::CanStart(const wire::TaskStart& start,
-                        const TaskKey& key) const {
-  if (key.step.sequence == 0 || !this->IsReady(key.step))
-    return false;
-  const JobTask& task = this->Task(key);
-  if (task.state != JobTaskState::kWaiting || start.run() != task.run + 1)
+                        const TaskKey& key,
+                        std::uint32_t planned) const {
+  if (this->Task(key).state != JobTaskState::kWaiting)
     return false;
   const JobWorker* worker = this->FindWorker(start.agent());
   if (worker == nullptr || worker->lost || worker->description.draining() ||
@@ -309,21 +353,20 @@
     return false;
   const wire::JobStep& step = this->Step(key.step);
   if (step.spread_limit() > 0 &&
-      CountRuns(*worker, key.step) >= step.spread_limit())
+      CountRuns(*worker, key.step) + planned >= step.spread_limit())
     return false;
   const wire::JobWorkerDescription& size = worker->description;
-  const std::uint64_t cpu = step.fills() ? 0 : step.cpu_milli();
+  const std::uint64_t count = std::uint64_t{planned} + 1;
+  const std::uint64_t cpu = step.fills() ? 0 : count * step.cpu_milli();
   const bool fits =
       worker->used_cpu_milli + cpu <= size.cpu_milli() &&
-      worker->used_memory_mb + step.memory_mb() <= size.memory_mb() &&
-      worker->used_accelerators + step.accelerators() <= size.accelerators();
+      worker->used_memory_mb + count * step.memory_mb() <= size.memory_mb() &&
+      worker->used_accelerators + count * step.accelerators() <=
+          size.accelerators();
   return fits || this->mutations.skip_capacity_check;
 }
 
-void JobTable::StartRun(const wire::TaskStart& start) {
-  const TaskKey key = this->KeyOf(start.task());
-  if (!this->CanStart(start, key))
-    return;
+void JobTable::StartRun(const wire::TaskStart& start, const TaskKey& key) {
   Job& job = *this->MutableJob(key.step.sequence);
   JobTask& task = this->MutableTask(key);
   JobWorker& worker = this->worker_table.at(start.agent());
--- a/src/libjobs/job_table.h
+++ b/src/libjobs/job_table.h
@@ -164,6 +164,9 @@
   /// Open jobs with scheduled occurrences that have not begun.
   const std::set<std::uint64_t>& timed_jobs() const { return this->timed; }
   const JobTask& Task(const TaskKey& key) const;
+  /// Number of the task's next run. Members of a gang have the same, also if
+  /// their last runs had not.
+  std::uint32_t NextRun(const TaskKey& key) const;
   const wire::JobStep& Step(const StepKey& key) const;
   const StepState& State(const StepKey& key) const;
   bool IsReady(const StepKey& key) const;
@@ -190,9 +193,14 @@
   void ApplyEnds(const wire::WorkerEnds& ends);
   void ApplyEnd(const std::string& agent, const wire::TaskEnd& end);
   void BeginOccurrence(const wire::OccurrenceStart& start);
-  void StartRun(const wire::TaskStart& start);
-
-  bool CanStart(const wire::TaskStart& start, const TaskKey& key) const;
+  void StartRuns(const wire::JobCommand& command);
+  void StartGang(const StepKey& step_key,
+                 const std::vector<wire::TaskStart>& starts);
+  void StartRun(const wire::TaskStart& start, const TaskKey& key);
+
+  bool CanStart(const wire::TaskStart& start,
+                const TaskKey& key,
+                std::uint32_t planned) const;
   void AddOccurrence(Job& job, std::uint32_t number);
   void ReleaseRun(JobTask& task, const TaskKey& key);
   void ReleaseAllRuns(JobWorker& worker, const std::string& reason);
