--- a/src/libjobs/job_placement.cc
+++ b/src/libjobs/job_placement.cc
@@ -381,6 +381,7 @@
                              wire::JobCommand& command) {
   const StepState& state = table.State(key);
   const std::string& job = table.FindSequence(key.sequence)->spec.id();
+  const bool gang = table.Step(key).gang();
   Candidates candidates = this->FindCandidates(table, key, capacities, false);
   const bool forced = candidates.empty() && this->force_placement;
   if (forced)
@@ -391,7 +392,8 @@
     if (task.state != JobTaskState::kWaiting ||
         this->MustBeTested(task_key, task) || this->IsRetryDelayed(task_key))
       continue;
-    if (candidates.empty() || command.starts_size() >= kMaxStartsPerDecision)
+    const bool full = !gang && command.starts_size() >= kMaxStartsPerDecision;
+    if (candidates.empty() || full)
       return;
     const auto best = this->BestCandidate(candidates, job, task);
     const Candidate chosen = *best;
@@ -503,13 +505,15 @@
   const auto first = table.suspects().lower_bound({.step = key});
   const auto last =
       table.suspects().upper_bound({.step = key, .index = UINT32_MAX});
+  const bool gang = table.Step(key).gang();
   for (auto it = first; it != last; ++it) {
     const JobTask& task = table.Task(*it);
     if (task.state != JobTaskState::kWaiting || this->IsRetryDelayed(*it) ||
         this->MustBeGivenUp(task) || !this->MustBeTested(*it, task))
       continue;
     FreeCapacity* tester = this->FindTestWorker(table, *it, capacities);
-    if (tester == nullptr || command.starts_size() >= kMaxStartsPerDecision)
+    const bool full = !gang && command.starts_size() >= kMaxStartsPerDecision;
+    if (tester == nullptr || full)
       return;
     tester->job_under_test = key.sequence;
     tester->tests_in_decision = true;
--- a/src/libjobs/job_scheduler_test.cc
+++ b/src/libjobs/job_scheduler_test.cc
@@ -321,6 +321,18 @@
   LONGS_EQUAL(2, this->RunOf(1));
 }
 
+// Guards against a large gang that waits for ever beside idle workers.
+TEST(JobScheduler, AGangWithMoreTasksThanADecisionStartsIsStarted) {
+  constexpr std::uint32_t kTasks = 1000;
+  this->Deliver(this->Report("a", kTasks));
+  this->Submit("gang", kTasks, 1, 0, [](wire::JobStep* step) {
+    step->set_gang(true);
+    step->set_memory_mb(1);
+  });
+  this->Decide();
+  LONGS_EQUAL(kTasks, this->CountRunning("gang"));
+}
+
 // Their worker may list their end later than that of the first.
 TEST(JobScheduler, MembersOfADoneGangCountUntilTheirEndIsListed) {
   this->Deliver(this->Report("a"));
