--- a/src/libjobs/job_placement.cc
+++ b/src/libjobs/job_placement.cc
@@ -374,17 +374,21 @@
 }
 
 // All tasks of a step have the same requirements: they share one list of
-// candidates, in which a start changes the cost of one worker only.
+// candidates, in which a start changes the cost of one worker only. A gang is
+// not limited to the starts of one decision, and all of it or nothing of it is
+// forced.
 void JobScheduler::PlaceStep(const JobTable& table,
                              const StepKey& key,
                              std::map<std::string, FreeCapacity>& capacities,
-                             wire::JobCommand& command) {
+                             wire::JobCommand& command,
+                             bool force_gang) {
   const StepState& state = table.State(key);
   const std::string& job = table.FindSequence(key.sequence)->spec.id();
   const bool gang = table.Step(key).gang();
-  Candidates candidates = this->FindCandidates(table, key, capacities, false);
-  const bool forced = candidates.empty() && this->force_placement;
-  if (forced)
+  Candidates candidates =
+      this->FindCandidates(table, key, capacities, force_gang);
+  const bool force_one = !gang && candidates.empty() && this->force_placement;
+  if (force_one)
     candidates = this->FindCandidates(table, key, capacities, true);
   for (std::uint32_t index = 0; index < state.tasks.size(); ++index) {
     const TaskKey task_key{.step = key, .index = index};
@@ -399,10 +403,10 @@
     const Candidate chosen = *best;
     candidates.erase(best);
     this->AssignTask(table, task_key, *chosen.capacity, command);
-    if (forced)
+    if (force_one)
       return;
     if (const auto cost =
-            this->PlacementCost(table, key, *chosen.capacity, false)) {
+            this->PlacementCost(table, key, *chosen.capacity, force_gang)) {
       candidates.insert(
           {.cost = *cost, .agent = chosen.agent, .capacity = chosen.capacity});
     }
@@ -531,15 +535,22 @@
   const StepState& state = table.State(key);
   if (state.waiting != state.tasks.size())
     return;
-  std::map<std::string, FreeCapacity> capacities_left = capacities;
-  wire::JobCommand placed;
-  this->PlaceSuspects(table, key, capacities_left, placed);
-  this->PlaceStep(table, key, capacities_left, placed);
-  if (static_cast<std::size_t>(placed.starts_size()) != state.tasks.size())
-    return;
-  capacities = std::move(capacities_left);
-  for (const wire::TaskStart& start : placed.starts())
-    *command.add_starts() = start;
+  const auto place = [&](bool forced) {
+    std::map<std::string, FreeCapacity> capacities_left = capacities;
+    wire::JobCommand placed;
+    this->PlaceSuspects(table, key, capacities_left, placed);
+    this->PlaceStep(table, key, capacities_left, placed, forced);
+    if (static_cast<std::size_t>(placed.starts_size()) != state.tasks.size())
+      return false;
+    capacities = std::move(capacities_left);
+    for (const wire::TaskStart& start : placed.starts())
+      *command.add_starts() = start;
+    return true;
+  };
+  // Suspects have been reserved for tests by the first attempt.
+  const bool may_force = this->force_placement && !HasSuspects(table, key);
+  if (!place(false) && may_force)
+    place(true);
 }
 
 }  // namespace savoryring
--- a/src/libjobs/job_scheduler.h
+++ b/src/libjobs/job_scheduler.h
@@ -351,10 +351,13 @@
                   const TaskKey& key,
                   FreeCapacity& capacity,
                   wire::JobCommand& command);
+  /// `force_gang`: places a gang of best-effort tasks also on workers without
+  /// room.
   void PlaceStep(const JobTable& table,
                  const StepKey& key,
                  std::map<std::string, FreeCapacity>& capacities,
-                 wire::JobCommand& command);
+                 wire::JobCommand& command,
+                 bool force_gang = false);
   void PlaceSuspects(const JobTable& table,
                      const StepKey& key,
                      std::map<std::string, FreeCapacity>& capacities,
--- a/src/libjobs/job_scheduler_test.cc
+++ b/src/libjobs/job_scheduler_test.cc
@@ -333,6 +333,25 @@
   LONGS_EQUAL(kTasks, this->CountRunning("gang"));
 }
 
+// Guards against a gang of best-effort tasks that waits for ever beside idle
+// workers, as not all of its members have room.
+TEST(JobScheduler,
+     AGangOfBestEffortTasksWithoutRoomIsStartedBesideIdleWorkers) {
+  for (const std::string agent : {"a", "b"})
+    this->Deliver(this->Report(agent, 16'000));
+  this->Submit("gang", 16, 3500, 0, [](wire::JobStep* step) {
+    step->set_gang(true);
+    step->set_fills(true);
+  });
+  this->Decide();
+  LONGS_EQUAL(0, this->CountRunning("gang"));
+  this->now += JobSchedulerOptions{}.max_idle_job_wait + Milliseconds(1);
+  for (const std::string agent : {"a", "b"})
+    this->Deliver(this->Report(agent, 16'000));
+  this->Decide();
+  LONGS_EQUAL(16, this->CountRunning("gang"));
+}
+
 // Their worker may list their end later than that of the first.
 TEST(JobScheduler, MembersOfADoneGangCountUntilTheirEndIsListed) {
   this->Deliver(this->Report("a"));
