--- a/src/libjobs/job_scheduler.cc
+++ b/src/libjobs/job_scheduler.cc
@@ -352,6 +352,22 @@
   }
 }
 
+namespace {
+
+// All members of a gang resume from the value of one of them, which is valid
+// for each. No value changes while all of them are assigned.
+const std::string& CheckpointOf(const JobTable& table, const TaskKey& key) {
+  if (table.Step(key.step).gang()) {
+    for (const JobTask& member : table.State(key.step).tasks) {
+      if (!member.checkpoint.empty())
+        return member.checkpoint;
+    }
+  }
+  return table.Task(key).checkpoint;
+}
+
+}  // namespace
+
 wire::AgentOrders JobScheduler::OrdersFor(const JobTable& table,
                                           const std::string& agent,
                                           TimePoint now) {
@@ -412,7 +428,7 @@
     *start->mutable_task() = table.NameOf(key);
     start->set_run(task.run);
     start->set_payload(job.spec.payload());
-    start->set_checkpoint(task.checkpoint);
+    start->set_checkpoint(CheckpointOf(table, key));
     start->set_tail_target_ms(step.tail_target_ms());
     start->set_fills(step.fills());
     start->set_image(step.image());
--- a/src/libjobs/job_scheduler_test.cc
+++ b/src/libjobs/job_scheduler_test.cc
@@ -71,6 +71,23 @@
     const Job* found = this->table.Find(job);
     return found == nullptr ? 0 : found->assigned;
   }
+  // A run of a task of the first job is broken, with its work saved.
+  void EndWithCheckpoint(std::uint32_t index, const std::string& checkpoint) {
+    const TaskKey key{.step = {.sequence = 1}, .index = index};
+    const std::string agent = this->table.Task(key).agent;
+    wire::JobCommand command;
+    wire::WorkerEnds* worker_ends = command.add_ends();
+    worker_ends->set_agent(agent);
+    worker_ends->set_born_ms(1);
+    wire::TaskEnd* end = worker_ends->add_ends();
+    end->set_number(++this->ends);
+    worker_ends->set_up_to(this->ends);
+    *end->mutable_task() = this->table.NameOf(key);
+    end->set_run(this->table.Task(key).run);
+    end->set_how(wire::RUN_END_BROKEN);
+    end->set_checkpoint(checkpoint);
+    this->Apply(command);
+  }
   // The run number of a task of the first job.
   std::uint32_t RunOf(std::uint32_t index) {
     return this->table.Task({.step = {.sequence = 1}, .index = index}).run;
@@ -352,6 +369,32 @@
   LONGS_EQUAL(16, this->CountRunning("gang"));
 }
 
+// Guards against members of a gang that resume from different checkpoints.
+TEST(JobScheduler, MembersOfAGangResumeFromOneCheckpoint) {
+  for (const std::string agent : {"a", "b"})
+    this->Deliver(this->Report(agent));
+  this->Submit("gang", 2, 3000, 0,
+               [](wire::JobStep* step) { step->set_gang(true); });
+  this->Decide();
+  this->EndWithCheckpoint(1, "");
+  this->EndWithCheckpoint(0, "c-0");
+  this->Decide();
+  this->EndWithCheckpoint(0, "c-1");
+  this->EndWithCheckpoint(1, "c-2");
+  this->Decide();
+  LONGS_EQUAL(2, this->CountRunning("gang"));
+  std::set<std::string> checkpoints;
+  for (const std::string agent : {"a", "b"}) {
+    this->now += Milliseconds(500);
+    this->scheduler.OnReport(this->table, this->Report(agent), this->now);
+    const wire::AgentOrders orders = this->OrdersFor(agent);
+    LONGS_EQUAL(1, orders.starts_size());
+    checkpoints.insert(orders.starts(0).checkpoint());
+  }
+  LONGS_EQUAL(1, checkpoints.size());
+  CHECK(!checkpoints.contains(""));
+}
+
 // Their worker may list their end later than that of the first.
 TEST(JobScheduler, MembersOfADoneGangCountUntilTheirEndIsListed) {
   this->Deliver(this->Report("a"));
