--- a/src/libtransport/control_client.cc
+++ b/src/libtransport/control_client.cc
@@ -14,6 +14,33 @@
 // this many redirects in a row the next attempt is delayed too.
 constexpr int kMaxRedirects = 3;
 
+bool ChangesNothing(const wire::ControlCall& call) {
+  return call.method() == "GET" || call.read_only();
+}
+
+// Whether a leader may refuse a call with this code after an earlier leader has
+// accepted it: the state that decided it may have changed in between.
+bool MayFollowAcceptance(std::uint32_t result_code) {
+  switch (static_cast<ResultCode>(result_code)) {
+    case ResultCode::kUnknownQueue:
+    case ResultCode::kUnknownTaskClass:
+    case ResultCode::kUnknownTeam:
+    case ResultCode::kNothingToDecide:
+      return true;
+    default:
+      return false;
+  }
+}
+
+wire::ControlReply MakeErrorReply(std::uint64_t call_id, ResultCode code) {
+  wire::ControlReply reply;
+  reply.set_call_id(call_id);
+  reply.set_status(static_cast<std::uint32_t>(InfoOf(code).http_status));
+  reply.set_result_code(static_cast<std::uint32_t>(NumberOf(code)));
+  reply.set_body(ResultBody(code, ""));
+  return reply;
+}
+
 }  // namespace
 
 ControlClient::ControlClient(ControlClientOptions options)
@@ -53,7 +80,15 @@
       this->OnNotLeader(open, link, reply, now);
     return;
   }
-  this->Deliver(open, reply, now);
+  const bool outcome_open = open.may_be_committed &&
+                            !ChangesNothing(open.call) &&
+                            MayFollowAcceptance(reply.result_code());
+  wire::ControlReply answer = reply;
+  if (outcome_open) {
+    answer = MakeErrorReply(reply.call_id(), ResultCode::kNotCommittedInTime);
+    answer.set_estate_revision(reply.estate_revision());
+  }
+  this->Deliver(open, std::move(answer), now);
   this->calls.erase(found);
   if (!is_current)
     return;
@@ -147,21 +182,15 @@
       expired.push_back(id);
   }
   for (const std::uint64_t id : expired) {
-    wire::ControlReply reply;
-    reply.set_call_id(id);
-    // GET calls change nothing. Other calls that were sent and not rejected may
-    // still be committed.
+    // A call that was sent and not rejected may still be committed.
     OpenCall& open = this->calls.at(id);
     const bool not_committed =
-        open.call.method() == "GET" ||
+        ChangesNothing(open.call) ||
         (!open.may_be_committed && open.asked_link.empty()) ||
         this->options.mutations.report_unknown_as_refused;
     const ResultCode code =
         not_committed ? ResultCode::kNoLeader : ResultCode::kNotCommittedInTime;
-    reply.set_status(static_cast<std::uint32_t>(InfoOf(code).http_status));
-    reply.set_result_code(static_cast<std::uint32_t>(NumberOf(code)));
-    reply.set_body(ResultBody(code, ""));
-    this->Deliver(open, std::move(reply), now);
+    this->Deliver(open, MakeErrorReply(id, code), now);
     this->calls.erase(id);
   }
 }
--- a/src/libtransport/control_client_test.cc
+++ b/src/libtransport/control_client_test.cc
@@ -29,8 +29,10 @@
                         .no_leader_timeout = kNoLeaderTimeout}};
   std::vector<wire::ControlReply> delivered;
 
-  void Call(std::uint64_t id, Milliseconds timeout = Milliseconds(3000)) {
+  void Call(std::uint64_t id, Milliseconds timeout = Milliseconds(3000),
+            bool read_only = false) {
     wire::ControlCall call;
+    call.set_read_only(read_only);
     call.set_call_id(id);
     call.set_method("JOB");
     this->client.OnCall(call, this->now + timeout, this->now);
@@ -41,6 +43,14 @@
     reply.set_status(200);
     this->client.OnReply(link, reply, this->now);
   }
+  // A leader's refusal.
+  void Refuse(const std::string& link, std::uint64_t id, ResultCode code) {
+    wire::ControlReply reply;
+    reply.set_call_id(id);
+    reply.set_status(static_cast<std::uint32_t>(InfoOf(code).http_status));
+    reply.set_result_code(static_cast<std::uint32_t>(NumberOf(code)));
+    this->client.OnReply(link, reply, this->now);
+  }
   void RejectNotLeader(const std::string& link, std::uint64_t id,
                        const std::string& hint = "") {
     this->client.OnReply(link, MakeNotLeaderReply(id, hint), this->now);
@@ -131,6 +141,30 @@
   LONGS_EQUAL(504, this->delivered[2].status());
 }
 
+// Guards against a job that is called refused and runs: a leader has it and
+// dies, and the next one has an estate without its queue.
+TEST(ControlClient, ARefusalAfterAnUnansweredSendingLeavesTheOutcomeOpen) {
+  this->Call(1);
+  this->Wait(kAnswerTimeout);
+  this->Refuse("b", 1, ResultCode::kUnknownQueue);
+  this->Call(2);
+  this->Refuse("b", 2, ResultCode::kUnknownQueue);
+  this->Call(3);
+  this->Wait(kAnswerTimeout);
+  this->Refuse("c", 3, ResultCode::kMalformedJob);
+  this->Call(4, Milliseconds(3000), true);
+  this->Wait(kAnswerTimeout);
+  this->Refuse("a", 4, ResultCode::kUnknownQueue);
+  this->Sent();
+  LONGS_EQUAL(4, this->delivered.size());
+  LONGS_EQUAL(404, this->delivered[3].status());
+  LONGS_EQUAL(504, this->delivered[0].status());
+  LONGS_EQUAL(NumberOf(ResultCode::kNotCommittedInTime),
+              this->delivered[0].result_code());
+  LONGS_EQUAL(404, this->delivered[1].status());
+  LONGS_EQUAL(400, this->delivered[2].status());
+}
+
 TEST(ControlClient, ALateRedirectDoesNotMoveTheCalls) {
   this->Call(1);
   this->Answer("a", 1);
--- a/src/savoryringd/gateway_duty.cc
+++ b/src/savoryringd/gateway_duty.cc
@@ -66,6 +66,7 @@
   wire::ControlCall control_call;
   control_call.set_method("JOB");
   control_call.set_body(call.SerializeAsString());
+  control_call.set_read_only(!call.has_submit() && !call.cancel());
   wire::ControlReply reply = this->control_caller.CallAndWait(
       std::move(control_call), this->process->drain().AnswerDeadline(deadline),
       this->loop);
