--- a/src/libjobs/job_scheduler_test.cc
+++ b/src/libjobs/job_scheduler_test.cc
@@ -27,6 +27,15 @@
     worker->set_memory_mb(10000);
     return report;
   }
+  // As an agent sends it that was restarted and has not heard its worker.
+  wire::AgentReport ReportWithoutWorker(const std::string& agent) {
+    wire::AgentReport report;
+    report.set_sent_ns(ToNanoseconds(this->now));
+    report.mutable_worker()->set_agent(agent);
+    report.set_process_incarnation(2);
+    report.set_listed(false);
+    return report;
+  }
   void Deliver(const wire::AgentReport& report) {
     if (const auto command =
             this->scheduler.OnReport(this->table, report, this->now))
@@ -215,12 +224,7 @@
   this->Submit("j", 1, 1000, 0);
   this->Decide();
   this->now += Milliseconds(500);
-  wire::AgentReport report;
-  report.set_sent_ns(ToNanoseconds(this->now));
-  report.mutable_worker()->set_agent("a");
-  report.set_process_incarnation(2);
-  report.set_listed(false);
-  this->Deliver(report);
+  this->Deliver(this->ReportWithoutWorker("a"));
   CHECK(this->OrdersFor("a").overfilled());
 }
 
@@ -234,12 +238,7 @@
       this->now + JobSchedulerOptions{}.lease + Milliseconds(500);
   while (this->now < lease_end) {
     this->now += Milliseconds(500);
-    wire::AgentReport report;
-    report.set_sent_ns(ToNanoseconds(this->now));
-    report.mutable_worker()->set_agent("a");
-    report.set_process_incarnation(2);
-    report.set_listed(false);
-    this->Deliver(report);
+    this->Deliver(this->ReportWithoutWorker("a"));
     LONGS_EQUAL(0, this->OrdersFor("a").lease_ms());
     this->Decide();
   }
