Logs: slow steps of a loop, large messages, replaced connections, the last line

Cause: a duty's loop did not measure its steps, the control duty replaced connections without a line, and the process ended before the log's thread had written. Change: events 1008 (a step of 100 ms or more) and 1108 (a message of 256 KiB or more), 1102 by the control duty, and the log is flushed before such an end. No change of logic.

--- a/src/libbase/events.cc
+++ b/src/libbase/events.cc
@@ -49,6 +49,8 @@
     EventInfo{
         kLinesDropped, "lines-dropped", kWarning,
         "an event exceeded its rate limit; some of its lines were not written"},
+    EventInfo{kSlowStep, "slow-step", kWarning,
+              "a step of a duty's loop took long; messages waited meanwhile"},
     EventInfo{
         kForeignMessage, "foreign-message", kWarning,
         "a link port received bytes that are not a valid message; dropped"},
@@ -64,6 +66,8 @@
               "a worker announced a new incarnation or a change of its state"},
     EventInfo{kWorkerUnconfirmed, "worker-unconfirmed", kWarning,
               "an announced worker is not the one on this VM; it is not used"},
+    EventInfo{kLargeMessage, "large-message", kInfo,
+              "a message of 256 KiB or more was sent or received"},
     EventInfo{kRequestAnswered, "request-answered", kDebug,
               "a caller got the endpoint's answer"},
     EventInfo{kRequestRefused, "request-refused", kInfo,
--- a/src/libtransport/duty_loop.cc
+++ b/src/libtransport/duty_loop.cc
@@ -1,6 +1,8 @@
 #include "libtransport/duty_loop.h"
 
 #include <cstdlib>
+#include <string>
+#include <string_view>
 #include <utility>
 
 #include "libbase/events.h"
@@ -9,6 +11,29 @@
 namespace {
 
 constexpr Milliseconds kTickInterval{10};
+// Replicas and agents wait a few hundred milliseconds for an answer.
+constexpr Milliseconds kLoggedStepTime{100};
+
+// Logs a step of the loop that took so long that messages waited.
+class StepTimer {
+ public:
+  explicit StepTimer(std::string_view what)
+      : what(what), begin(BootClock::now()) {}
+  ~StepTimer() {
+    const Milliseconds duration = RemainingTime(this->begin, BootClock::now());
+    if (duration >= kLoggedStepTime) {
+      LogEvent(Event::kSlowStep,
+               {{"step", std::string(this->what)},
+                {"took_ms", std::to_string(duration.count())}});
+    }
+  }
+  StepTimer(const StepTimer&) = delete;
+  StepTimer& operator=(const StepTimer&) = delete;
+
+ private:
+  std::string_view what;
+  TimePoint begin;
+};
 
 }  // namespace
 
@@ -27,6 +52,7 @@
       // State that could not be stored must not be served. The process exits at
       // once, without cleanup, and recovers from its disk at the next start.
       LogEvent(Event::kDiskFailed, {{"why", failure.what()}});
+      StopLog();
       std::_Exit(EXIT_FAILURE);
     }
   });
@@ -64,14 +90,18 @@
     // a millisecond.
     const Milliseconds timeout =
         RemainingTime(BootClock::now(), next_tick) + Milliseconds(1);
-    for (const Received& message : this->link->Poll(timeout))
+    for (const Received& message : this->link->Poll(timeout)) {
+      const StepTimer timer(wire::MessageKind_Name(message.envelope.kind()));
       this->handler->OnMessage(message, BootClock::now());
+    }
     this->RunPosted();
     const TimePoint now = BootClock::now();
     if (now >= next_tick) {
+      const StepTimer timer("tick");
       this->handler->OnTick(now);
       next_tick = now + kTickInterval;
     }
+    const StepTimer timer("batch-end");
     this->handler->OnBatchEnd(now);
   }
 }
@@ -82,8 +112,10 @@
     const std::lock_guard lock(this->mutex);
     work.swap(this->posted);
   }
-  for (const std::function<void()>& item : work)
+  for (const std::function<void()>& item : work) {
+    const StepTimer timer("posted");
     item();
+  }
 }
 
 }  // namespace savoryring
--- a/src/libtransport/link.cc
+++ b/src/libtransport/link.cc
@@ -3,6 +3,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <string_view>
 #include <utility>
 
 #include "libbase/address.h"
@@ -20,6 +21,19 @@
 // Limits the messages read from one socket at a time, so that a busy peer does
 // not starve the others.
 constexpr int kMaxMessagesPerRead = 512;
+constexpr std::size_t kLoggedMessageBytes = 256U << 10U;
+
+void LogIfLarge(std::string_view direction,
+                wire::MessageKind kind,
+                const std::string& peer,
+                std::size_t bytes) {
+  if (bytes < kLoggedMessageBytes)
+    return;
+  LogEvent(Event::kLargeMessage, {{"direction", std::string(direction)},
+                                  {"kind", wire::MessageKind_Name(kind)},
+                                  {"peer", peer},
+                                  {"bytes", std::to_string(bytes)}});
+}
 
 }  // namespace
 
@@ -51,6 +65,7 @@
   if (connection == nullptr)
     return;
   const std::string frame = this->EncodeEnvelope(kind, body);
+  LogIfLarge("sent", kind, address, frame.size());
   if (connection->send(zmq::buffer(frame), zmq::send_flags::dontwait))
     this->CountSent(frame.size());
 }
@@ -68,6 +83,7 @@
                           zmq::send_flags::sndmore | zmq::send_flags::dontwait);
   if (!identity_sent)
     return;
+  LogIfLarge("sent", kind, "", frame.size());
   if (this->listener.send(zmq::buffer(frame), zmq::send_flags::dontwait))
     this->CountSent(frame.size());
 }
@@ -197,6 +213,8 @@
     LogEvent(Event::kForeignMessage, {{"bytes", std::to_string(frame.size())}});
     return;
   }
+  LogIfLarge("received", message.envelope.kind(), message.envelope.sender(),
+             frame.size());
   received.push_back(std::move(message));
 }
 
--- a/src/savoryringd/control_duty.cc
+++ b/src/savoryringd/control_duty.cc
@@ -259,8 +259,10 @@
   this->ApplyReloadedSettings();
   this->core.OnTick(now, UnixMilliseconds());
   this->control_caller.OnTick(now);
-  for (const std::string& address : this->liveness.TakeUnresponsive(now))
+  for (const std::string& address : this->liveness.TakeUnresponsive(now)) {
+    LogEvent(Event::kConnectionReplaced, {{"link", address}});
     this->link.ReplaceConnection(address);
+  }
   this->ready = this->core.IsReady(now);
   if (now < this->publish_deadline)
     return;
