--- a/src/include/savoryring/settings.h
+++ b/src/include/savoryring/settings.h
@@ -64,7 +64,10 @@
 
 struct LimitSettings {
   std::uint64_t body_bytes = 1U << 20U;
+  /// The log is compacted into a snapshot at this number of entries, or at
+  /// this size.
   std::uint64_t snapshot_after_entries = 4000;
+  std::uint64_t snapshot_after_bytes = 8U << 20U;
   std::uint32_t queue_per_slot = 2;
 };
 
--- a/src/libbase/settings.cc
+++ b/src/libbase/settings.cc
@@ -96,13 +96,16 @@
 }
 
 LimitSettings ParseLimits(const ObjectView& view) {
-  view.AllowKeys({"body_bytes", "snapshot_after_entries", "queue_per_slot"});
+  view.AllowKeys({"body_bytes", "snapshot_after_entries",
+                  "snapshot_after_bytes", "queue_per_slot"});
   constexpr std::uint64_t kMaxBodyBytes = 64U << 20U;
   LimitSettings limits;
   limits.body_bytes = view.Integer("body_bytes", limits.body_bytes,
                                    {.min = 1, .max = kMaxBodyBytes});
   limits.snapshot_after_entries = view.Integer(
       "snapshot_after_entries", limits.snapshot_after_entries, {.min = 10});
+  limits.snapshot_after_bytes = view.Integer(
+      "snapshot_after_bytes", limits.snapshot_after_bytes, {.min = 4096});
   limits.queue_per_slot = static_cast<std::uint32_t>(
       view.Integer("queue_per_slot", limits.queue_per_slot, {.max = 1000}));
   return limits;
--- a/src/libcontrol/control_core.cc
+++ b/src/libcontrol/control_core.cc
@@ -26,6 +26,7 @@
     this->control_state.Restore(saved);
   }
   this->last_applied = this->log_replica.first_index() - 1;
+  this->stored_index = this->log_replica.last_index();
 }
 
 void ControlCore::OnReplicaMessage(const wire::ReplicaMessage& message,
@@ -358,6 +359,7 @@
 
 void ControlCore::ApplyCommitted(const wire::LogEntry& entry) {
   this->last_applied = entry.index();
+  this->applied_log_bytes += entry.ByteSizeLong();
   if (entry.has_membership()) {
     std::string voters;
     for (const wire::Member& voter : entry.membership().voters())
@@ -443,6 +445,7 @@
     throw Error(ResultCode::kDamagedLog, "a received snapshot");
   this->control_state.Restore(saved);
   this->last_applied = snapshot.index();
+  this->applied_log_bytes = 0;
 }
 
 void ControlCore::Propose(const std::vector<wire::Command>& commands) {
@@ -451,9 +454,20 @@
 }
 
 void ControlCore::CompactIfLong() {
-  const std::uint64_t limit = this->options.snapshot_after_entries;
-  if (this->last_applied + 1 < this->log_replica.first_index() + limit)
+  const bool has_many_entries =
+      this->last_applied + 1 >=
+      this->log_replica.first_index() + this->options.snapshot_after_entries;
+  // The cost of a snapshot is thus in proportion to that of the log.
+  const bool is_large =
+      this->applied_log_bytes >=
+      std::max<std::uint64_t>(this->options.snapshot_after_bytes,
+                              this->log_replica.snapshot_state().size());
+  // The entries read at startup may take most of the disk, and compaction
+  // rewrites those that are not applied yet.
+  const bool applied_stored = this->last_applied >= this->stored_index;
+  if (!applied_stored || (!has_many_entries && !is_large))
     return;
+  this->applied_log_bytes = 0;
   this->log_replica.Compact(this->last_applied,
                             this->control_state.Save().SerializeAsString());
   this->ReportEvent(Event::kSnapshotTaken,
--- a/src/libcontrol/control_core.h
+++ b/src/libcontrol/control_core.h
@@ -29,7 +29,10 @@
   ReplicaOptions replica;
   SchedulerOptions scheduler;
   JobSchedulerOptions jobs;
+  /// A snapshot is taken when the applied entries after the last one reach
+  /// this number, or this size and that of the last snapshot.
   std::uint64_t snapshot_after_entries = 4000;
+  std::uint64_t snapshot_after_bytes = 8U << 20U;
   std::map<std::string, std::string> replica_links;  ///< By replica id.
   ControlMutations mutations;
 };
@@ -155,6 +158,9 @@
   std::int64_t unix_ms = 0;
   std::set<std::string> reporting_agents;
   std::uint64_t last_applied = 0;
+  std::uint64_t stored_index = 0;  // last entry read from the disk at startup
+  // Size of the applied entries that are not in a snapshot.
+  std::uint64_t applied_log_bytes = 0;
   std::uint64_t scheduler_term = 0;
   std::uint64_t last_decision_index = 0;  // log index after the last decision
   TimePoint decide_deadline;
--- a/src/libcontrol/control_core_test.cc
+++ b/src/libcontrol/control_core_test.cc
@@ -14,6 +14,7 @@
   StoredReplica disk;
   std::unique_ptr<ControlCore> core;
   std::vector<std::string> lost_workers;
+  int snapshots = 0;  // stored since its start
 };
 
 }  // namespace
@@ -22,6 +23,7 @@
   TimePoint now = TimePoint(std::chrono::seconds(100));
   std::array<Node, 3> nodes{Node{.id = "1"}, Node{.id = "2"}, Node{.id = "3"}};
   std::uint64_t last_call_token = 0;
+  std::uint64_t snapshot_after_bytes = ControlOptions().snapshot_after_bytes;
   std::string reporting_agent = "a";
   bool worker_gone = false;  // as the agent reports it
   wire::WorkerEnds ends;
@@ -33,6 +35,8 @@
     options.replica.self = {.id = node.id, .incarnation = 1};
     options.replica.configured_ids = {"1", "2", "3"};
     options.replica.seed = seed;
+    options.snapshot_after_bytes = this->snapshot_after_bytes;
+    node.snapshots = 0;
     node.core = std::make_unique<ControlCore>(options, node.disk, this->now);
   }
   void StartAllNodes() {
@@ -42,6 +46,12 @@
   void Persist(Node & node, const ReplicaOutput& output) {
     if (output.hard_state)
       node.disk.hard_state = *output.hard_state;
+    if (output.snapshot) {
+      node.snapshots += 1;
+      node.disk.snapshot = output.snapshot;
+      node.disk.entries = node.core->replica().Entries();
+      return;
+    }
     for (const wire::LogEntry& entry : output.append) {
       std::erase_if(node.disk.entries, [&entry](const wire::LogEntry& old) {
         return old.index() >= entry.index();
@@ -118,17 +128,31 @@
     this->Run(20);
     LONGS_EQUAL(200, this->replies[this->last_call_token].status());
   }
-  // Submits a job of one task, which runs on "a" and finishes.
-  void SubmitAndFinishJob() {
+  void SubmitEstate(std::uint64_t version, std::size_t source_bytes) {
     this->Call("POST", "/estate",
-               R"({"version":1,"estate":{"services":[{"name":"desk"}],)"
-               R"("queues":[{"name":"q","host":"h","prefix":"/q/",)"
-               R"("service":"desk"}]}})");
+               R"({"version":)" + std::to_string(version) + R"(,"source":")" +
+                   std::string(source_bytes, 'x') +
+                   R"(","estate":{"services":[{"name":"desk"}],)"
+                   R"("queues":[{"name":"q","host":"h","prefix":"/q/",)"
+                   R"("service":"desk"}]}})");
+  }
+  void SubmitJob(const std::string& name) {
     wire::JobCall call;
     call.set_host("h");
-    call.set_path("/q/j");
+    call.set_path("/q/" + name);
     call.mutable_submit()->add_steps()->set_count(1);
     this->Call("JOB", "", call.SerializeAsString());
+  }
+  static std::size_t LogBytes(const Node& node) {
+    std::size_t bytes = 0;
+    for (const wire::LogEntry& entry : node.core->replica().Entries())
+      bytes += entry.command().size();
+    return bytes;
+  }
+  // Submits a job of one task, which runs on "a" and finishes.
+  void SubmitAndFinishJob() {
+    this->SubmitEstate(1, 0);
+    this->SubmitJob("j");
     wire::TaskEnd* end = this->ends.add_ends();
     end->set_number(1);
     end->mutable_task()->set_job("j");
@@ -165,6 +189,54 @@
     CHECK(node.lost_workers.empty());
 }
 
+// Guards against control processes that exceed their memory or disk after many
+// changes of a large estate.
+TEST(ControlCore, ManyChangesOfALargeEstateDoNotFillTheLog) {
+  constexpr std::size_t kEstateBytes = 600'000;
+  // An eighth of the smallest disk that is supported.
+  constexpr std::size_t kMaxLogBytes = 16U << 20U;
+  this->StartAllNodes();
+  this->Run(300);
+  for (std::uint64_t version = 1; version <= 40; ++version)
+    this->SubmitEstate(version, kEstateBytes);
+  for (const Node& node : this->nodes)
+    CHECK(LogBytes(node) <= kMaxLogBytes);
+  this->inboxes.clear();
+  this->StartAllNodes();
+  this->Run(300);
+  LONGS_EQUAL(40, this->Leader()->core->state().estate().revision());
+}
+
+// Guards against a log of small entries that is compacted at every change, as
+// the snapshot is larger than the size limit of the log.
+TEST(ControlCore, ALargeSnapshotIsNotTakenAgainAfterEachSmallChange) {
+  constexpr std::size_t kEstateBytes = 12U << 20U;
+  this->StartAllNodes();
+  this->Run(300);
+  this->SubmitEstate(1, kEstateBytes);
+  const std::uint64_t first_index =
+      this->Leader()->core->replica().first_index();
+  for (int i = 0; i < 20; ++i)
+    this->SubmitJob("j-" + std::to_string(i));
+  LONGS_EQUAL(first_index, this->Leader()->core->replica().first_index());
+}
+
+// Guards against a full disk at a start with a log that takes half of it.
+TEST(ControlCore, ALongLogIsCompactedOnceAfterARestart) {
+  this->snapshot_after_bytes = UINT64_MAX;
+  this->StartAllNodes();
+  this->Run(300);
+  for (std::uint64_t version = 1; version <= 40; ++version)
+    this->SubmitEstate(version, 600'000);
+  this->snapshot_after_bytes = ControlOptions().snapshot_after_bytes;
+  this->inboxes.clear();
+  this->StartAllNodes();
+  this->Run(300);
+  LONGS_EQUAL(40, this->Leader()->core->state().estate().revision());
+  for (const Node& node : this->nodes)
+    LONGS_EQUAL(1, node.snapshots);
+}
+
 TEST(ControlCore, RepliesTellTheEstateRevisionThatDecidedTheCall) {
   this->StartAllNodes();
   this->Run(300);
--- a/src/libreplication/replica.cc
+++ b/src/libreplication/replica.cc
@@ -31,8 +31,8 @@
     this->committed_index = this->snapshot_index;
     this->delivered_index = this->snapshot_index;
   }
-  for (const wire::LogEntry& entry : stored.entries)
-    this->AppendToLog(entry);
+  for (wire::LogEntry& entry : stored.entries)
+    this->AppendToLog(std::move(entry));
   this->durable_index = this->last_index();
   if (!this->memberships.empty())
     this->role = ReplicaRole::kFollower;
@@ -438,13 +438,13 @@
 
 // --- The log ---
 
-void Replica::AppendToLog(const wire::LogEntry& entry) {
+void Replica::AppendToLog(wire::LogEntry entry) {
   if (entry.index() != this->last_index() + 1)
     throw Error(ResultCode::kDamagedLog,
                 "log entry indexes are not consecutive");
-  this->log.push_back(entry);
   if (entry.has_membership())
     this->memberships[entry.index()] = entry.membership();
+  this->log.push_back(std::move(entry));
 }
 
 void Replica::TruncateLogFrom(std::uint64_t index) {
--- a/src/libreplication/replica.h
+++ b/src/libreplication/replica.h
@@ -49,11 +49,14 @@
   ReplicaMutations mutations;
 };
 
+/// Consecutive entries of the log.
+using LogEntries = std::deque<wire::LogEntry>;
+
 /// The persistent state that a replica reads at startup.
 struct StoredReplica {
   wire::HardState hard_state;
   std::optional<wire::Snapshot> snapshot;
-  std::vector<wire::LogEntry> entries;  ///< Entries after the snapshot.
+  LogEntries entries;  ///< Entries after the snapshot.
 };
 
 struct OutgoingReplicaMessage {
@@ -123,9 +126,7 @@
   /// State in the snapshot that precedes the log; empty without a snapshot.
   const std::string& snapshot_state() const { return this->snapshot_data; }
   /// All entries after the snapshot.
-  std::vector<wire::LogEntry> Entries() const {
-    return {this->log.begin(), this->log.end()};
-  }
+  const LogEntries& Entries() const { return this->log; }
 
   bool IsLeader() const { return this->role == ReplicaRole::kLeader; }
   /// Whether this replica is the leader and no other replica can have become
@@ -197,7 +198,7 @@
   TimePoint ResendDeadline(const Progress& progress, TimePoint now) const;
   void SendSnapshot(Progress& progress, TimePoint now);
   void AppendAsLeader(wire::LogEntry entry);
-  void AppendToLog(const wire::LogEntry& entry);
+  void AppendToLog(wire::LogEntry entry);
   void TruncateLogFrom(std::uint64_t index);
   void AppendReceivedEntries(const wire::AppendRequest& request);
   void AdvanceCommit();
@@ -236,7 +237,7 @@
   std::string snapshot_data;  // sent to peers whose next entry is compacted
   // Memberships by the log index that set them; the last one is in effect.
   std::map<std::uint64_t, wire::Membership> memberships;
-  std::deque<wire::LogEntry> log;
+  LogEntries log;
   std::uint64_t committed_index = 0;
   std::uint64_t delivered_index = 0;  // last entry put into an output
   std::uint64_t durable_index = 0;    // last entry known to be on disk
--- a/src/libreplication/replica_store.cc
+++ b/src/libreplication/replica_store.cc
@@ -6,6 +6,8 @@
 #include <cerrno>
 #include <cstring>
 #include <filesystem>
+#include <fstream>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
@@ -24,6 +26,9 @@
 constexpr std::string_view kSnapshotFile = "snapshot";
 constexpr std::string_view kLogFile = "log";
 constexpr std::string_view kTemporarySuffix = ".new";
+// Records are collected up to this size before they are written.
+constexpr std::size_t kWriteBufferBytes = 1U << 20U;
+constexpr std::size_t kScanBufferBytes = 64U << 10U;
 
 struct RecordHeader {
   std::uint32_t magic = 0;
@@ -71,14 +76,14 @@
 }
 
 // Replaces a file atomically: after a crash either the old or the new content
-// remains.
+// remains. `write_content` writes to the file descriptor that it gets.
 void ReplaceFile(const std::string& directory,
                  const std::string& path,
-                 std::string_view bytes) {
+                 const std::function<void(int)>& write_content) {
   const std::string temporary = path + std::string(kTemporarySuffix);
   {
     const File file(temporary, O_WRONLY | O_CREAT | O_TRUNC);
-    WriteAll(file.get(), bytes);
+    write_content(file.get());
     if (fsync(file.get()) != 0)
       ThrowDiskError("sync " + temporary);
   }
@@ -87,6 +92,12 @@
   SyncDirectory(directory);
 }
 
+void ReplaceFile(const std::string& directory,
+                 const std::string& path,
+                 std::string_view bytes) {
+  ReplaceFile(directory, path, [bytes](int fd) { WriteAll(fd, bytes); });
+}
+
 std::string EncodePayload(const std::string& payload) {
   const RecordHeader header{
       .magic = kRecordMagic,
@@ -96,32 +107,79 @@
   return bytes + payload;
 }
 
-// Returns the payload of the record at the start of `bytes`, or nothing if the
-// record is incomplete or damaged.
-std::optional<std::string_view> DecodePayload(std::string_view bytes) {
-  RecordHeader header;
-  if (bytes.size() < sizeof(header))
-    return std::nullopt;
-  std::memcpy(&header, bytes.data(), sizeof(header));
-  bytes.remove_prefix(sizeof(header));
-  if (header.magic != kRecordMagic || header.length > bytes.size())
-    return std::nullopt;
-  const std::string_view payload = bytes.substr(0, header.length);
-  if (Checksum(payload) != header.checksum)
-    return std::nullopt;
-  return payload;
-}
+// Reads the records of a file one at a time, as the file may take a large part
+// of the memory.
+class RecordReader {
+ public:
+  /// Throws Error (kUnreadableFile).
+  explicit RecordReader(const std::string& path)
+      : file(path, std::ios::binary), size(fs::file_size(path)) {
+    if (!this->file)
+      throw Error(ResultCode::kUnreadableFile, path);
+  }
 
-bool ContainsValidRecord(std::string_view bytes) {
-  const std::string_view magic(reinterpret_cast<const char*>(&kRecordMagic),
-                               sizeof(kRecordMagic));
-  for (std::size_t at = bytes.find(magic); at != std::string_view::npos;
-       at = bytes.find(magic, at + 1)) {
-    if (DecodePayload(bytes.substr(at)))
-      return true;
+  /// Reads the payload of the next record. Returns nullopt at the end of the
+  /// file and at a record that is incomplete or damaged.
+  std::optional<std::string> Next() {
+    std::optional<std::string> payload = this->ReadAt(this->position);
+    if (payload)
+      this->position += sizeof(RecordHeader) + payload->size();
+    return payload;
+  }
+
+  /// End of the last record that was read.
+  std::uint64_t offset() const { return this->position; }
+  std::uint64_t remaining() const { return this->size - this->position; }
+
+  /// Whether any record that begins after offset() is valid.
+  bool HasValidRecordAfterOffset() {
+    const std::string_view magic(reinterpret_cast<const char*>(&kRecordMagic),
+                                 sizeof(kRecordMagic));
+    for (std::uint64_t begin = this->position + 1; begin < this->size;
+         begin += kScanBufferBytes) {
+      // The windows overlap, so that none of them ends within a magic number.
+      const std::string window =
+          this->ReadBytes(begin, kScanBufferBytes + magic.size() - 1);
+      for (std::size_t at = window.find(magic); at != std::string::npos;
+           at = window.find(magic, at + 1)) {
+        if (this->ReadAt(begin + at))
+          return true;
+      }
+    }
+    return false;
   }
-  return false;
-}
+
+ private:
+  std::optional<std::string> ReadAt(std::uint64_t begin) {
+    const std::string bytes = this->ReadBytes(begin, sizeof(RecordHeader));
+    RecordHeader header;
+    if (bytes.size() < sizeof(header))
+      return std::nullopt;
+    std::memcpy(&header, bytes.data(), sizeof(header));
+    const std::uint64_t payload_begin = begin + sizeof(header);
+    if (header.magic != kRecordMagic ||
+        header.length > this->size - payload_begin)
+      return std::nullopt;
+    std::string payload = this->ReadBytes(payload_begin, header.length);
+    if (payload.size() != header.length || Checksum(payload) != header.checksum)
+      return std::nullopt;
+    return payload;
+  }
+
+  // Returns fewer bytes at the end of the file.
+  std::string ReadBytes(std::uint64_t begin, std::size_t count) {
+    std::string bytes(std::min<std::uint64_t>(count, this->size - begin), 0);
+    this->file.clear();
+    this->file.seekg(static_cast<std::streamoff>(begin));
+    this->file.read(bytes.data(), static_cast<std::streamsize>(bytes.size()));
+    bytes.resize(static_cast<std::size_t>(this->file.gcount()));
+    return bytes;
+  }
+
+  std::ifstream file;
+  std::uint64_t size;
+  std::uint64_t position = 0;
+};
 
 wire::StoredRecord EntryRecord(const wire::LogEntry& entry) {
   wire::StoredRecord record;
@@ -165,7 +223,7 @@
 }
 
 void ReplicaStore::Store(const ReplicaOutput& output,
-                         const std::vector<wire::LogEntry>& retained) {
+                         const LogEntries& retained) {
   if (output.hard_state)
     this->last_hard_state = *output.hard_state;
   if (output.snapshot) {
@@ -213,13 +271,10 @@
   const std::string path = this->PathOf(kSnapshotFile);
   if (!fs::exists(path))
     return;
-  const std::string bytes = ReadFile(path);
-  const auto payload = DecodePayload(bytes);
+  RecordReader reader(path);
+  const auto payload = reader.Next();
   wire::Snapshot snapshot;
-  const bool whole =
-      payload && snapshot.ParseFromArray(payload->data(),
-                                         static_cast<int>(payload->size()));
-  if (!whole)
+  if (!payload || !snapshot.ParseFromString(*payload))
     throw Error(ResultCode::kDamagedLog, path);
   this->stored.snapshot = std::move(snapshot);
 }
@@ -228,45 +283,40 @@
   const std::string path = this->PathOf(kLogFile);
   if (!fs::exists(path))
     return;
-  const std::string bytes = ReadFile(path);
-  std::string_view rest = bytes;
-  while (!rest.empty()) {
-    const auto payload = DecodePayload(rest);
+  RecordReader reader(path);
+  while (const auto payload = reader.Next()) {
     wire::StoredRecord record;
-    const bool whole =
-        payload && record.ParseFromArray(payload->data(),
-                                         static_cast<int>(payload->size()));
-    if (!whole)
-      break;
-    this->ApplyRecord(record);
-    rest.remove_prefix(sizeof(RecordHeader) + payload->size());
+    if (!record.ParseFromString(*payload)) {
+      throw Error(ResultCode::kDamagedLog,
+                  path + " before byte " + std::to_string(reader.offset()));
+    }
+    this->ApplyRecord(std::move(record));
   }
-  if (rest.empty())
+  if (reader.remaining() == 0)
     return;
   // An interrupted write leaves no valid record after it. Valid records after a
   // damaged one mean that acknowledged records are lost.
-  if (ContainsValidRecord(rest.substr(1))) {
-    throw Error(
-        ResultCode::kDamagedLog,
-        path + " at byte " + std::to_string(bytes.size() - rest.size()));
+  if (reader.HasValidRecordAfterOffset()) {
+    throw Error(ResultCode::kDamagedLog,
+                path + " at byte " + std::to_string(reader.offset()));
   }
-  this->truncated_size = rest.size();
-  fs::resize_file(path, bytes.size() - rest.size());
+  this->truncated_size = reader.remaining();
+  fs::resize_file(path, reader.offset());
 }
 
-void ReplicaStore::ApplyRecord(const wire::StoredRecord& record) {
+void ReplicaStore::ApplyRecord(wire::StoredRecord record) {
   if (record.has_hard_state()) {
     this->last_hard_state = record.hard_state();
     return;
   }
-  std::vector<wire::LogEntry>& entries = this->stored.entries;
-  const wire::LogEntry& entry = record.entry();
+  LogEntries& entries = this->stored.entries;
+  wire::LogEntry& entry = *record.mutable_entry();
   while (!entries.empty() && entries.back().index() >= entry.index())
     entries.pop_back();
   if (!entries.empty() && entries.back().index() + 1 != entry.index())
     throw Error(ResultCode::kDamagedLog,
                 "log entry indexes are not consecutive");
-  entries.push_back(entry);
+  entries.push_back(std::move(entry));
 }
 
 // The snapshot is replaced before the log is rewritten. After a crash between
@@ -276,7 +326,7 @@
   if (!this->stored.snapshot)
     return;
   const wire::Snapshot& snapshot = *this->stored.snapshot;
-  std::vector<wire::LogEntry>& entries = this->stored.entries;
+  LogEntries& entries = this->stored.entries;
   bool log_matches =
       !entries.empty() && entries.front().index() == snapshot.index() + 1;
   std::size_t superseded = 0;
@@ -304,12 +354,21 @@
   SyncDirectory(this->directory);
 }
 
-void ReplicaStore::RewriteLog(const std::vector<wire::LogEntry>& retained) {
-  std::string bytes = EncodeRecord(HardStateRecord(this->last_hard_state));
-  for (const wire::LogEntry& entry : retained)
-    bytes += EncodeRecord(EntryRecord(entry));
-  close(std::exchange(this->log_fd, -1));
-  ReplaceFile(this->directory, this->PathOf(kLogFile), bytes);
+void ReplicaStore::RewriteLog(const LogEntries& retained) {
+  const auto write_records = [this, &retained](int fd) {
+    std::string bytes = EncodeRecord(HardStateRecord(this->last_hard_state));
+    for (const wire::LogEntry& entry : retained) {
+      bytes += EncodeRecord(EntryRecord(entry));
+      if (bytes.size() < kWriteBufferBytes)
+        continue;
+      WriteAll(fd, bytes);
+      bytes.clear();
+    }
+    WriteAll(fd, bytes);
+  };
+  if (this->log_fd >= 0)
+    close(std::exchange(this->log_fd, -1));
+  ReplaceFile(this->directory, this->PathOf(kLogFile), write_records);
   this->OpenLog();
 }
 
--- a/src/libreplication/replica_store.h
+++ b/src/libreplication/replica_store.h
@@ -10,7 +10,6 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "libreplication/replica.h"
 
@@ -39,17 +38,16 @@
 
   /// Writes and syncs the persistent parts of `output`. If it has a snapshot,
   /// `retained` holds the log entries after it.
-  void Store(const ReplicaOutput& output,
-             const std::vector<wire::LogEntry>& retained);
+  void Store(const ReplicaOutput& output, const LogEntries& retained);
 
  private:
   void ReadIdentity(const std::string& id, std::uint64_t new_incarnation);
   void ReadSnapshot();
   void ReadLog();
-  void ApplyRecord(const wire::StoredRecord& record);
+  void ApplyRecord(wire::StoredRecord record);
   void DropEntriesSupersededBySnapshot();
   void OpenLog();
-  void RewriteLog(const std::vector<wire::LogEntry>& retained);
+  void RewriteLog(const LogEntries& retained);
   void AppendAndSync(const std::string& bytes);
   std::string PathOf(std::string_view name) const;
 
--- a/src/libreplication/replica_store_test.cc
+++ b/src/libreplication/replica_store_test.cc
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 #include <stdlib.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <filesystem>
 #include <fstream>
@@ -24,6 +26,27 @@
   return entry;
 }
 
+// Limits how much the address space of this process may grow.
+class AddressSpaceLimit {
+ public:
+  explicit AddressSpaceLimit(std::size_t growth) {
+    getrlimit(RLIMIT_AS, &this->previous);
+    std::size_t pages = 0;
+    std::ifstream("/proc/self/statm") >> pages;
+    const std::size_t size =
+        pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+    rlimit limited = this->previous;
+    limited.rlim_cur = size + growth;
+    setrlimit(RLIMIT_AS, &limited);
+  }
+  ~AddressSpaceLimit() { setrlimit(RLIMIT_AS, &this->previous); }
+  AddressSpaceLimit(const AddressSpaceLimit&) = delete;
+  AddressSpaceLimit& operator=(const AddressSpaceLimit&) = delete;
+
+ private:
+  rlimit previous{};
+};
+
 }  // namespace
 
 TEST_GROUP(ReplicaStore) {
@@ -77,6 +100,30 @@
   STRCMP_EQUAL("other", stored.entries[1].command().c_str());
 }
 
+// Guards against a replica that never starts as reading its log takes several
+// times the log's size in memory.
+TEST(ReplicaStore, ALongLogIsReadWithoutCopiesOfIt) {
+  constexpr std::uint64_t kEntries = 64;
+  constexpr std::size_t kEntryBytes = 1U << 20U;
+  {
+    ReplicaStore store(this->directory, "a", 7);
+    for (std::uint64_t index = 1; index <= kEntries; ++index) {
+      ReplicaOutput output;
+      output.append = {Entry(index, 1, std::string(kEntryBytes, 'x'))};
+      store.Store(output, {});
+    }
+  }
+  const AddressSpaceLimit limit(kEntries * kEntryBytes * 3 / 2);
+  try {
+    ReplicaStore store(this->directory, "a", 7);
+    const Replica replica({.self = store.self()}, store.TakeStored(),
+                          TimePoint());
+    LONGS_EQUAL(kEntries, replica.last_index());
+  } catch (const std::bad_alloc&) {
+    FAIL("reading the log takes more than 1.5 times its size");
+  }
+}
+
 TEST(ReplicaStore, TruncatesIncompleteLastRecordOfAnyLength) {
   this->WriteThreeEntries();
   const std::string whole = ReadFile(this->LogPath());
--- a/src/savoryringd/control_duty.cc
+++ b/src/savoryringd/control_duty.cc
@@ -49,6 +49,7 @@
       .scheduler = {.watch = {.lease = settings.timing.worker_lease}},
       .jobs = {.lease = settings.timing.agent_lease},
       .snapshot_after_entries = settings.limits.snapshot_after_entries,
+      .snapshot_after_bytes = settings.limits.snapshot_after_bytes,
       .replica_links = PeerLinksById(settings.controls)};
 }
 
@@ -309,8 +310,7 @@
 
 void ControlDuty::Store(const ReplicaOutput& output) {
   const TimePoint begin = BootClock::now();
-  this->store.Store(output, output.snapshot ? this->core.replica().Entries()
-                                            : std::vector<wire::LogEntry>());
+  this->store.Store(output, this->core.replica().Entries());
   this->process->metrics().RecordLatency("control_log_sync",
                                          BootClock::now() - begin);
 }
--- a/testsuite/schedule/nodes.h
+++ b/testsuite/schedule/nodes.h
@@ -79,7 +79,7 @@
     std::uint64_t incarnation = 0;
     wire::HardState hard_state;
     std::optional<wire::Snapshot> snapshot;
-    std::vector<wire::LogEntry> entries;
+    LogEntries entries;
   };
   void Flush();
   void Store(const ReplicaOutput& output);
