--- a/src/libreplication/replica_store.cc
+++ b/src/libreplication/replica_store.cc
@@ -209,12 +209,17 @@
     throw Error(ResultCode::kDiskFailed,
                 "create " + this->directory + ": " + failure.message());
   }
+  this->RemoveTemporaryFiles();
   this->ReadIdentity(id, new_incarnation);
   this->ReadSnapshot();
   this->ReadLog();
-  this->DropEntriesSupersededBySnapshot();
+  const bool log_is_superseded = this->DropEntriesSupersededBySnapshot();
   this->stored.hard_state = this->last_hard_state;
-  this->OpenLog();
+  // New entries must follow those that are kept in the file as well.
+  if (log_is_superseded)
+    this->RewriteLog(this->stored.entries);
+  else
+    this->OpenLog();
 }
 
 ReplicaStore::~ReplicaStore() {
@@ -241,6 +246,19 @@
     this->AppendAndSync(bytes);
 }
 
+// They were left by a process that ended while it replaced a file.
+void ReplicaStore::RemoveTemporaryFiles() {
+  for (const std::string_view name : {kIdentityFile, kSnapshotFile, kLogFile}) {
+    const std::string path = this->PathOf(name) + std::string(kTemporarySuffix);
+    std::error_code failure;
+    fs::remove(path, failure);
+    if (failure) {
+      throw Error(ResultCode::kDiskFailed,
+                  "remove " + path + ": " + failure.message());
+    }
+  }
+}
+
 void ReplicaStore::ReadIdentity(const std::string& id,
                                 std::uint64_t new_incarnation) {
   const std::string path = this->PathOf(kIdentityFile);
@@ -313,18 +331,26 @@
   wire::LogEntry& entry = *record.mutable_entry();
   while (!entries.empty() && entries.back().index() >= entry.index())
     entries.pop_back();
-  if (!entries.empty() && entries.back().index() + 1 != entry.index())
+  const bool has_gap =
+      !entries.empty() && entries.back().index() + 1 != entry.index();
+  // Earlier versions appended to a log that ended before the snapshot.
+  const bool snapshot_covers_gap =
+      this->stored.snapshot &&
+      this->stored.snapshot->index() + 1 == entry.index();
+  if (has_gap && !snapshot_covers_gap)
     throw Error(ResultCode::kDamagedLog,
                 "log entry indexes are not consecutive");
+  if (has_gap)
+    entries.clear();
   entries.push_back(std::move(entry));
 }
 
 // The snapshot is replaced before the log is rewritten. After a crash between
 // the two steps, entries after the snapshot are valid only if the log begins
 // right after the snapshot or has the same term at the snapshot's index.
-void ReplicaStore::DropEntriesSupersededBySnapshot() {
+bool ReplicaStore::DropEntriesSupersededBySnapshot() {
   if (!this->stored.snapshot)
-    return;
+    return false;
   const wire::Snapshot& snapshot = *this->stored.snapshot;
   LogEntries& entries = this->stored.entries;
   bool log_matches =
@@ -341,6 +367,7 @@
     superseded = entries.size();
   entries.erase(entries.begin(),
                 entries.begin() + static_cast<std::ptrdiff_t>(superseded));
+  return superseded > 0;
 }
 
 void ReplicaStore::OpenLog() {
--- a/src/libreplication/replica_store.h
+++ b/src/libreplication/replica_store.h
@@ -41,11 +41,13 @@
   void Store(const ReplicaOutput& output, const LogEntries& retained);
 
  private:
+  void RemoveTemporaryFiles();
   void ReadIdentity(const std::string& id, std::uint64_t new_incarnation);
   void ReadSnapshot();
   void ReadLog();
   void ApplyRecord(wire::StoredRecord record);
-  void DropEntriesSupersededBySnapshot();
+  // Returns whether any were dropped.
+  bool DropEntriesSupersededBySnapshot();
   void OpenLog();
   void RewriteLog(const LogEntries& retained);
   void AppendAndSync(const std::string& bytes);
