--- a/src/libcontrol/control_core.cc
+++ b/src/libcontrol/control_core.cc
@@ -1,14 +1,24 @@
 #include "libcontrol/control_core.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
+#include "libbase/checksum.h"
+
 namespace savoryring {
 namespace {
 
 constexpr Milliseconds kDecideInterval{20};
 // A process is considered live for this long after its last message.
 constexpr Milliseconds kProcessTimeout{3000};
+// Well below the time after which a sender asks another replica.
+constexpr Milliseconds kProgressInterval{100};
+constexpr std::string_view kEstatePath = "/estate";
+
+bool SubmitsEstate(const wire::ControlCall& call) {
+  return call.method() == "POST" && call.path() == kEstatePath;
+}
 
 }  // namespace
 
@@ -75,21 +85,50 @@
       this->OnJobCall(call, call_token, now);
       return;
     }
+    if (SubmitsEstate(call) && this->JoinProposedEstate(call, call_token, now))
+      return;
     const ControlView view = this->MakeView(now);
     auto command = ParseCommand(call, view);
     if (!command) {
       this->ReplyAsLeader(call_token, AnswerQuery(call, view));
       return;
     }
+    if (command->has_submit_estate() &&
+        this->AnswerKnownEstate(command->submit_estate(), call, call_token))
+      return;
     this->ProposeCall(*command, call, call_token, now);
   } catch (const Error& failure) {
-    if (call.path() == "/estate")
+    if (call.path() == kEstatePath)
       this->ReportEvent(Event::kEstateRejected, failure.what());
     this->ReplyAsLeader(call_token,
                         MakeErrorReply(failure.code(), failure.what()));
   }
 }
 
+// A submission is sent again while the first one is being stored, and may be
+// large: it waits for the same log entry.
+bool ControlCore::JoinProposedEstate(const wire::ControlCall& call,
+                                     std::uint64_t call_token,
+                                     TimePoint now) {
+  const auto found = this->proposed_estates.find(Checksum(call.body()));
+  if (found == this->proposed_estates.end())
+    return false;
+  this->AddPendingCall(found->second, call, call_token, now);
+  return true;
+}
+
+// Applying such a submission would change nothing, now and at any later index.
+bool ControlCore::AnswerKnownEstate(const wire::SubmitEstate& submission,
+                                    const wire::ControlCall& call,
+                                    std::uint64_t call_token) {
+  const bool is_known =
+      submission.highest_wins() &&
+      submission.version() <= this->control_state.estate().revision();
+  if (is_known)
+    this->ReplyAsLeader(call_token, AnswerApplied(call, ApplyResult()));
+  return is_known;
+}
+
 void ControlCore::ReplyAsLeader(std::uint64_t call_token,
                                 wire::ControlReply reply) {
   reply.set_estate_revision(this->control_state.estate().revision());
@@ -130,11 +169,36 @@
   if (command.has_job_command())
     command.mutable_job_command()->set_group_time_ms(this->GroupTime(now));
   const auto index = this->log_replica.Propose(command.SerializeAsString());
-  this->pending_calls[*index] = {
-      .call = call,
+  if (command.has_submit_estate())
+    this->proposed_estates[Checksum(call.body())] = *index;
+  this->AddPendingCall(*index, call, call_token, now);
+}
+
+void ControlCore::AddPendingCall(std::uint64_t index,
+                                 const wire::ControlCall& call,
+                                 std::uint64_t call_token,
+                                 TimePoint now) {
+  PendingCall pending{
       .term = this->log_replica.term(),
       .call_token = call_token,
-      .estate_revision = this->control_state.estate().revision()};
+      .estate_revision = this->control_state.estate().revision(),
+      .next_progress =
+          call.accepts_progress() ? now + kProgressInterval : kNever};
+  pending.call.set_method(call.method());
+  pending.call.set_path(call.path());
+  this->pending_calls.emplace(index, std::move(pending));
+}
+
+// The senders would otherwise ask other replicas after a while.
+void ControlCore::ReportProgress(TimePoint now) {
+  for (auto& [index, pending] : this->pending_calls) {
+    if (now < pending.next_progress)
+      continue;
+    pending.next_progress = now + kProgressInterval;
+    ReplyToCall progress{.call_token = pending.call_token};
+    progress.reply.set_in_progress(true);
+    this->effects.emplace_back(std::move(progress));
+  }
 }
 
 void ControlCore::OnAgentReport(const wire::AgentReport& report,
@@ -260,6 +324,8 @@
   this->unix_ms = unix_ms;
   this->log_replica.Tick(now);
   this->UpdateLeadership();
+  if (this->Serves(now))
+    this->ReportProgress(now);
   this->DecideJobs(now);
   const bool decide = this->Serves(now) && now >= this->decide_deadline &&
                       this->last_applied >= this->last_decision_index;
@@ -292,6 +358,7 @@
       this->effects.emplace_back(std::move(rejection));
     }
     this->pending_calls.clear();
+    this->proposed_estates.clear();
   }
   if (is_leader && this->scheduler_term != term) {
     this->scheduler_term = term;
@@ -371,10 +438,20 @@
   ApplyResult result;
   if (!entry.command().empty())
     this->ApplyCommand(entry, result);
-  const auto found = this->pending_calls.find(entry.index());
-  if (found == this->pending_calls.end())
+  const auto [first, last] = this->pending_calls.equal_range(entry.index());
+  if (first == last)
     return;
-  const PendingCall& pending = found->second;
+  for (auto pending = first; pending != last; ++pending)
+    this->AnswerPendingCall(pending->second, entry, result);
+  this->pending_calls.erase(first, last);
+  std::erase_if(this->proposed_estates, [&entry](const auto& item) {
+    return item.second == entry.index();
+  });
+}
+
+void ControlCore::AnswerPendingCall(const PendingCall& pending,
+                                    const wire::LogEntry& entry,
+                                    const ApplyResult& result) {
   ReplyToCall answer{.call_token = pending.call_token};
   if (pending.term == entry.term()) {
     answer.reply = AnswerApplied(pending.call, result);
@@ -384,7 +461,6 @@
     answer.reply.set_proposed(true);
   }
   this->effects.emplace_back(std::move(answer));
-  this->pending_calls.erase(found);
 }
 
 void ControlCore::ApplyCommand(const wire::LogEntry& entry,
--- a/src/libcontrol/control_core.h
+++ b/src/libcontrol/control_core.h
@@ -114,16 +114,31 @@
 
  private:
   struct PendingCall {
-    wire::ControlCall call;
+    wire::ControlCall call;  // without its body
     std::uint64_t term = 0;
     std::uint64_t call_token = 0;
     std::uint64_t estate_revision = 0;  // decided whether to propose the call
+    TimePoint next_progress;  // when the sender is told that it is in progress
   };
 
   void UpdateLeadership();
   void ApplyCommitted(const wire::LogEntry& entry);
   void ApplyCommand(const wire::LogEntry& entry, ApplyResult& result);
   void ReportCommandEvents(const wire::Command& command);
+  bool AnswerKnownEstate(const wire::SubmitEstate& submission,
+                         const wire::ControlCall& call,
+                         std::uint64_t call_token);
+  bool JoinProposedEstate(const wire::ControlCall& call,
+                          std::uint64_t call_token,
+                          TimePoint now);
+  void AddPendingCall(std::uint64_t index,
+                      const wire::ControlCall& call,
+                      std::uint64_t call_token,
+                      TimePoint now);
+  void AnswerPendingCall(const PendingCall& pending,
+                         const wire::LogEntry& entry,
+                         const ApplyResult& result);
+  void ReportProgress(TimePoint now);
   void ReplyAsLeader(std::uint64_t call_token, wire::ControlReply reply);
   void OnJobCall(const wire::ControlCall& call,
                  std::uint64_t call_token,
@@ -166,7 +181,10 @@
   TimePoint decide_deadline;
   bool was_leader = false;
   bool settled = false;
-  std::map<std::uint64_t, PendingCall> pending_calls;
+  std::multimap<std::uint64_t, PendingCall> pending_calls;  // by log index
+  // Log indexes of submitted estates that are not applied yet, by the checksum
+  // of the call's body.
+  std::map<std::uint64_t, std::uint64_t> proposed_estates;
   std::map<std::string, std::uint64_t> sent_orders_versions;  // by worker
   std::map<std::string, ProcessRevision> processes;
   std::vector<ControlEffect> effects;
--- a/src/libcontrol/control_core_test.cc
+++ b/src/libcontrol/control_core_test.cc
@@ -29,6 +29,7 @@
   wire::WorkerEnds ends;
   std::vector<SendAgentOrders> agent_orders;
   std::map<std::uint64_t, wire::ControlReply> replies;
+  int progress_replies = 0;
 
   void StartNode(Node & node, std::uint64_t seed) {
     ControlOptions options;
@@ -74,8 +75,10 @@
         break;
     }
     for (const ControlEffect& effect : node.core->TakeEffects(this->now)) {
-      if (const auto* reply = std::get_if<ReplyToCall>(&effect))
+      if (const auto* reply = std::get_if<ReplyToCall>(&effect)) {
         this->replies[reply->call_token] = reply->reply;
+        this->progress_replies += reply->reply.in_progress() ? 1 : 0;
+      }
       if (const auto* orders = std::get_if<SendAgentOrders>(&effect))
         this->agent_orders.push_back(*orders);
       if (const auto* event = std::get_if<OperatorEvent>(&effect)) {
@@ -128,13 +131,26 @@
     this->Run(20);
     LONGS_EQUAL(200, this->replies[this->last_call_token].status());
   }
+  static std::string Submission(std::uint64_t version,
+                                std::size_t source_bytes) {
+    return R"({"version":)" + std::to_string(version) +
+           R"(,"mode":"highest","source":")" + std::string(source_bytes, 'x') +
+           R"(","estate":{"services":[{"name":"desk"}],)"
+           R"("queues":[{"name":"q","host":"h","prefix":"/q/",)"
+           R"("service":"desk"}]}})";
+  }
   void SubmitEstate(std::uint64_t version, std::size_t source_bytes) {
-    this->Call("POST", "/estate",
-               R"({"version":)" + std::to_string(version) + R"(,"source":")" +
-                   std::string(source_bytes, 'x') +
-                   R"(","estate":{"services":[{"name":"desk"}],)"
-                   R"("queues":[{"name":"q","host":"h","prefix":"/q/",)"
-                   R"("service":"desk"}]}})");
+    this->Call("POST", "/estate", Submission(version, source_bytes));
+  }
+  // Sends a submission to the leader and does not wait for the reply.
+  std::uint64_t SendSubmission(const std::string& body) {
+    wire::ControlCall call;
+    call.set_method("POST");
+    call.set_path("/estate");
+    call.set_body(body);
+    call.set_accepts_progress(true);
+    this->Leader()->core->OnCall(call, ++this->last_call_token, this->now);
+    return this->last_call_token;
   }
   void SubmitJob(const std::string& name) {
     wire::JobCall call;
@@ -288,4 +304,45 @@
   CHECK(has_lease);
 }
 
+// Guards against a log that grows by each resending of a large estate, which
+// takes longer to be stored than the sender waits.
+TEST(ControlCore, AnEstateThatIsSentAgainIsStoredOnce) {
+  this->StartAllNodes();
+  this->Run(300);
+  const std::uint64_t before = this->Leader()->core->replica().last_index();
+  std::vector<std::uint64_t> calls;
+  for (int i = 0; i < 3; ++i) {
+    calls.push_back(this->SendSubmission(Submission(1, 10'000)));
+    this->Run(1);
+  }
+  this->Run(20);
+  calls.push_back(this->SendSubmission(Submission(1, 10'000)));
+  this->Run(20);
+  for (const std::uint64_t call : calls)
+    LONGS_EQUAL(200, this->replies[call].status());
+  LONGS_EQUAL(before + 1, this->Leader()->core->replica().last_index());
+  // Other content is another submission.
+  this->SendSubmission(Submission(2, 20'000));
+  this->SendSubmission(Submission(3, 10'000));
+  this->Run(20);
+  LONGS_EQUAL(before + 3, this->Leader()->core->replica().last_index());
+}
+
+TEST(ControlCore, TheSenderOfAnOpenCallIsToldThatItIsInProgress) {
+  this->StartAllNodes();
+  this->Run(300);
+  Node* leader = this->Leader();
+  const std::uint64_t call = this->SendSubmission(Submission(1, 0));
+  // The leader keeps its lease, but no replica stores the entry.
+  for (int i = 0; i < 30; ++i) {
+    this->now += Milliseconds(10);
+    leader->core->OnTick(this->now);
+    this->Flush(*leader);
+  }
+  CHECK(this->progress_replies >= 2);
+  this->Run(20);
+  LONGS_EQUAL(200, this->replies[call].status());
+  CHECK(!this->replies[call].in_progress());
+}
+
 }  // namespace savoryring
--- a/src/libtransport/control_client.cc
+++ b/src/libtransport/control_client.cc
@@ -1,5 +1,6 @@
 #include "libtransport/control_client.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -13,6 +14,10 @@
 // Replicas with different views of the leader may redirect to each other. After
 // this many redirects in a row the next attempt is delayed too.
 constexpr int kMaxRedirects = 3;
+// The transfer of a call of this size or more is allowed for, at the rate of
+// the slowest link of a VM (2 Mbit/s).
+constexpr std::size_t kLargeCallBytes = 16U << 10U;
+constexpr std::size_t kAssumedBytesPerMillisecond = 250;
 
 bool ChangesNothing(const wire::ControlCall& call) {
   return call.method() == "GET" || call.read_only();
@@ -52,6 +57,7 @@
   const std::uint64_t id = call.call_id();
   OpenCall& open = this->calls[id];
   open.call = std::move(call);
+  open.call.set_accepts_progress(true);
   open.deadline = deadline;
   open.no_leader_deadline = now + this->options.no_leader_timeout;
   if (this->leader_known)
@@ -71,6 +77,11 @@
   OpenCall& open = found->second;
   // A late reply of a replica that the call has left does not tell who leads.
   const bool is_current = open.asked_link == link;
+  if (reply.in_progress()) {
+    if (is_current)
+      this->OnProgress(open, link, now);
+    return;
+  }
   const bool not_leader =
       reply.result_code() ==
       static_cast<std::uint32_t>(NumberOf(ResultCode::kNoLeader));
@@ -96,6 +107,16 @@
   this->OnLeaderFound(link, now);
 }
 
+// Only a leader works on a call. It repeats this until it answers.
+void ControlClient::OnProgress(OpenCall& open,
+                               const std::string& link,
+                               TimePoint now) {
+  open.answer_deadline =
+      std::max(open.answer_deadline, now + this->options.answer_timeout);
+  this->redirects = 0;
+  this->OnLeaderFound(link, now);
+}
+
 void ControlClient::OnNotLeader(OpenCall& open,
                                 const std::string& link,
                                 const wire::ControlReply& reply,
@@ -162,6 +183,7 @@
 // that were sent over it are sent again.
 void ControlClient::LeaveSilentReplica(const std::string& link, TimePoint now) {
   this->effects.emplace_back(ReplaceControlConnection{.link = link});
+  this->transfer_ends.erase(link);
   for (auto& [id, open] : this->calls) {
     if (open.asked_link != link)
       continue;
@@ -230,13 +252,27 @@
 void ControlClient::Send(OpenCall& open, TimePoint now) {
   EndHold(open, now);
   open.asked_link = this->leader_link();
-  open.answer_deadline = now + this->options.answer_timeout;
+  open.answer_deadline = this->AnswerDeadline(open, now);
   open.call.set_remaining_ms(
       static_cast<std::uint32_t>(RemainingTime(now, open.deadline).count()));
   this->effects.emplace_back(
       SendCall{.link = open.asked_link, .call = open.call});
 }
 
+// A call follows the calls that were sent to the same link before it.
+TimePoint ControlClient::AnswerDeadline(const OpenCall& open, TimePoint now) {
+  TimePoint transfer_end = now;
+  const auto found = this->transfer_ends.find(open.asked_link);
+  if (found != this->transfer_ends.end())
+    transfer_end = std::max(now, found->second);
+  const std::size_t bytes = open.call.body().size();
+  if (bytes >= kLargeCallBytes) {
+    transfer_end += Milliseconds(bytes / kAssumedBytesPerMillisecond);
+    this->transfer_ends[open.asked_link] = transfer_end;
+  }
+  return transfer_end + this->options.answer_timeout;
+}
+
 void ControlClient::Hold(OpenCall& open, TimePoint now) {
   open.asked_link.clear();
   open.held_since = now;
--- a/src/libtransport/control_client.h
+++ b/src/libtransport/control_client.h
@@ -26,7 +26,8 @@
 
 struct ControlClientOptions {
   std::vector<std::string> links;  ///< Links of all replicas.
-  /// Wait for a replica's answer before another one is asked.
+  /// Wait for a replica's answer, or its word that it works on the call,
+  /// before another one is asked. Starts when the call has been transferred.
   Milliseconds answer_timeout{400};
   /// After this time, a call that certainly no leader has accepted fails with
   /// kNoLeader, also before its deadline.
@@ -92,6 +93,8 @@
   void FailExpiredCalls(TimePoint now);
   void ProbeReplica(TimePoint now);
   void Send(OpenCall& open, TimePoint now);
+  TimePoint AnswerDeadline(const OpenCall& open, TimePoint now);
+  void OnProgress(OpenCall& open, const std::string& link, TimePoint now);
   void Hold(OpenCall& open, TimePoint now);
   static void EndHold(OpenCall& open, TimePoint now);
   void Deliver(OpenCall& open, wire::ControlReply reply, TimePoint now);
@@ -105,6 +108,8 @@
   TimePoint probe_answer_deadline = kNever;  // of the replica being asked
   int redirects = 0;                         // since the last answer or probe
   std::map<std::uint64_t, OpenCall> calls;   // oldest first
+  // When the large calls sent to a link will have arrived there.
+  std::map<std::string, TimePoint> transfer_ends;
   std::vector<ControlClientEffect> effects;
 };
 
--- a/src/libtransport/control_client_test.cc
+++ b/src/libtransport/control_client_test.cc
@@ -37,6 +37,18 @@
     call.set_method("JOB");
     this->client.OnCall(call, this->now + timeout, this->now);
   }
+  void CallWithBody(std::uint64_t id, std::size_t bytes) {
+    wire::ControlCall call;
+    call.set_call_id(id);
+    call.set_body(std::string(bytes, 'x'));
+    this->client.OnCall(call, this->now + Milliseconds(60'000), this->now);
+  }
+  void ReportProgress(const std::string& link, std::uint64_t id) {
+    wire::ControlReply reply;
+    reply.set_call_id(id);
+    reply.set_in_progress(true);
+    this->client.OnReply(link, reply, this->now);
+  }
   void Answer(const std::string& link, std::uint64_t id) {
     wire::ControlReply reply;
     reply.set_call_id(id);
@@ -217,4 +229,50 @@
   STRCMP_EQUAL("d:2", this->Sent().c_str());
 }
 
+// Guards against a configuration that is sent again and again, each time over a
+// new connection, while the leader still receives it.
+TEST(ControlClient, ALargeCallIsNotSentAgainWhileItIsTransferred) {
+  // Takes 4 s at 2 Mbit/s.
+  this->CallWithBody(1, 1'000'000);
+  this->Wait(Milliseconds(4000));
+  STRCMP_EQUAL("a:1", this->Sent().c_str());
+  this->Wait(kAnswerTimeout + Milliseconds(10));
+  STRCMP_EQUAL("b:1", this->Sent().c_str());
+}
+
+TEST(ControlClient, ACallBehindALargeOneWaitsForItsTransfer) {
+  this->CallWithBody(1, 1'000'000);
+  this->Answer("a", 1);
+  this->CallWithBody(2, 1'000'000);
+  this->Wait(Milliseconds(3000));
+  this->Call(3);
+  this->Wait(Milliseconds(1000));
+  STRCMP_EQUAL("a:1 a:2 a:3", this->Sent().c_str());
+}
+
+// Guards against a call that several leaders work on as the first one takes
+// longer than the answer timeout.
+TEST(ControlClient, ACallThatItsLeaderWorksOnIsNotSentAgain) {
+  this->Call(1, Milliseconds(60'000));
+  for (int i = 0; i < 20; ++i) {
+    this->Wait(Milliseconds(300));
+    this->ReportProgress("a", 1);
+  }
+  STRCMP_EQUAL("a:1", this->Sent().c_str());
+  LONGS_EQUAL(0, this->delivered.size());
+  this->Wait(kAnswerTimeout);
+  STRCMP_EQUAL("b:1", this->Sent().c_str());
+  this->ReportProgress("a", 1);
+  this->Wait(kAnswerTimeout);
+  STRCMP_EQUAL("c:1", this->Sent().c_str());
+}
+
+TEST(ControlClient, AReplicaThatWorksOnACallIsTheLeader) {
+  this->Call(1);
+  this->Call(2);
+  STRCMP_EQUAL("a:1", this->Sent().c_str());
+  this->ReportProgress("a", 1);
+  STRCMP_EQUAL("a:2", this->Sent().c_str());
+}
+
 }  // namespace savoryring
--- a/src/savoryringd/control_duty.cc
+++ b/src/savoryringd/control_duty.cc
@@ -334,7 +334,8 @@
       if (found == this->reply_callbacks.end())
         continue;
       found->second(reply->reply);
-      this->reply_callbacks.erase(found);
+      if (!reply->reply.in_progress())
+        this->reply_callbacks.erase(found);
     } else {
       const auto& operator_event = std::get<OperatorEvent>(effect);
       this->process->metrics().Count(
--- a/testsuite/schedule/nodes.cc
+++ b/testsuite/schedule/nodes.cc
@@ -231,7 +231,8 @@
       if (found == this->pending_calls.end())
         continue;
       found->second(reply->reply);
-      this->pending_calls.erase(found);
+      if (!reply->reply.in_progress())
+        this->pending_calls.erase(found);
     } else {
       this->TraceEvent(std::get<OperatorEvent>(effect));
     }
