--- a/src/include/savoryring/estate.h
+++ b/src/include/savoryring/estate.h
@@ -87,6 +87,15 @@
 /// an estate with any problem is rejected as a whole.
 Estate ParseEstate(std::string_view text);
 
+/// An estate text that has been parsed and validated.
+struct ParsedEstate {
+  Estate estate;
+  std::map<std::string, std::string> sections;  ///< See CanonicalSections.
+};
+
+/// Does both ParseEstate and CanonicalSections. Throws Error as ParseEstate.
+ParsedEstate ParseEstateAndSections(std::string_view text);
+
 /// The top-level sections of an estate file by name, in canonical form: texts
 /// that differ only in formatting or key order have equal sections. Throws
 /// Error (kMalformedJson).
--- a/src/libcontrol/control_api.cc
+++ b/src/libcontrol/control_api.cc
@@ -69,7 +69,14 @@
   submit->set_highest_wins(mode == "highest");
   submit->set_source(view.String("source", false));
   submit->set_text(document["estate"].dump());
-  ParseEstate(submit->text());
+  return command;
+}
+
+wire::Command ParseEstateCall(const std::string& body) {
+  wire::Command command;
+  wire::SubmitEstate* submit = command.mutable_submit_estate();
+  if (!submit->ParseFromString(body) || submit->version() == 0)
+    throw Error(ResultCode::kDamagedMessage, "estate call");
   return command;
 }
 
@@ -289,6 +296,8 @@
     return std::nullopt;
   if (method == "CLAIM" || method == "SETTLE")
     return ParseClaim(call);
+  if (method == "ESTATE")
+    return ParseEstateCall(call.body());
   const std::string first = path.empty() ? "" : path[0];
   wire::Command command;
   if (method == "POST" && first == "estate" && path.size() == 1)
--- a/src/libcontrol/control_api.h
+++ b/src/libcontrol/control_api.h
@@ -34,7 +34,8 @@
 };
 
 /// Returns the command for a request that changes the state, or nothing for a
-/// read-only request. Throws Error if the request is malformed.
+/// read-only request. Throws Error if the request is malformed. The text of a
+/// submitted estate is not validated.
 std::optional<wire::Command> ParseCommand(const wire::ControlCall& call,
                                           const ControlView& view);
 
--- a/src/libcontrol/control_core.cc
+++ b/src/libcontrol/control_core.cc
@@ -17,7 +17,8 @@
 constexpr std::string_view kEstatePath = "/estate";
 
 bool SubmitsEstate(const wire::ControlCall& call) {
-  return call.method() == "POST" && call.path() == kEstatePath;
+  return (call.method() == "POST" || call.method() == "ESTATE") &&
+         call.path() == kEstatePath;
 }
 
 }  // namespace
@@ -93,9 +94,11 @@
       this->ReplyAsLeader(call_token, AnswerQuery(call, view));
       return;
     }
-    if (command->has_submit_estate() &&
-        this->AnswerKnownEstate(command->submit_estate(), call, call_token))
-      return;
+    if (command->has_submit_estate()) {
+      this->control_state.PrepareEstate(command->submit_estate().text());
+      if (this->AnswerKnownEstate(command->submit_estate(), call, call_token))
+        return;
+    }
     this->ProposeCall(*command, call, call_token, now);
   } catch (const Error& failure) {
     if (call.path() == kEstatePath)
--- a/src/libcontrol/control_core_test.cc
+++ b/src/libcontrol/control_core_test.cc
@@ -345,4 +345,28 @@
   CHECK(!this->replies[call].in_progress());
 }
 
+TEST(ControlCore, AnInvalidEstateIsNeitherStoredNorAcknowledged) {
+  this->StartAllNodes();
+  this->Run(300);
+  const std::uint64_t before = this->Leader()->core->replica().last_index();
+  wire::SubmitEstate submission;
+  submission.set_version(1);
+  submission.set_highest_wins(true);
+  submission.set_text(R"({"queues":[{"name":"q","host":"h"}]})");
+  wire::ControlCall call;
+  call.set_method("ESTATE");
+  call.set_path("/estate");
+  for (const std::string& body :
+       {submission.SerializeAsString(), std::string("{"), std::string()}) {
+    call.set_body(body);
+    this->Leader()->core->OnCall(call, ++this->last_call_token, this->now);
+    this->Run(20);
+    CHECK(this->replies[this->last_call_token].status() >= 400);
+  }
+  LONGS_EQUAL(before, this->Leader()->core->replica().last_index());
+  submission.set_text(R"({"services":[{"name":"desk"}]})");
+  this->Call("ESTATE", "/estate", submission.SerializeAsString());
+  LONGS_EQUAL(1, this->Leader()->core->state().estate().revision());
+}
+
 }  // namespace savoryring
--- a/src/libestate/estate.cc
+++ b/src/libestate/estate.cc
@@ -18,8 +18,9 @@
 
 class EstateParser {
  public:
-  explicit EstateParser(std::string_view text)
-      : document(ParseJson(text)), root(this->document, "", this->problems) {}
+  /// `document` must outlive the parser.
+  explicit EstateParser(const nlohmann::json& document)
+      : root(document, "", this->problems) {}
 
   Estate Parse() {
     this->root.AllowKeys({"services", "tasks", "task_classes", "monitors",
@@ -264,7 +265,6 @@
     }
   }
 
-  nlohmann::json document;
   ProblemList problems;
   ObjectView root;
   Estate estate;
@@ -273,6 +273,13 @@
   std::set<std::string> class_names;
 };
 
+std::map<std::string, std::string> SectionsOf(const nlohmann::json& document) {
+  std::map<std::string, std::string> sections;
+  for (const auto& item : document.items())
+    sections[item.key()] = item.value().dump();
+  return sections;
+}
+
 // Serialized content of each item, by its kind and name.
 using ItemDescriptions = std::map<std::string, std::string>;
 
@@ -351,15 +358,17 @@
 }
 
 Estate ParseEstate(std::string_view text) {
-  return EstateParser(text).Parse();
+  return EstateParser(ParseJson(text)).Parse();
 }
 
-std::map<std::string, std::string> CanonicalSections(std::string_view text) {
+ParsedEstate ParseEstateAndSections(std::string_view text) {
   const nlohmann::json document = ParseJson(text);
-  std::map<std::string, std::string> sections;
-  for (const auto& item : document.items())
-    sections[item.key()] = item.value().dump();
-  return sections;
+  return {.estate = EstateParser(document).Parse(),
+          .sections = SectionsOf(document)};
+}
+
+std::map<std::string, std::string> CanonicalSections(std::string_view text) {
+  return SectionsOf(ParseJson(text));
 }
 
 std::vector<std::string> DescribeDifference(const Estate& before,
--- a/src/libestate/estate_state.cc
+++ b/src/libestate/estate_state.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "libbase/checksum.h"
 #include "libbase/json_checker.h"
@@ -34,19 +35,32 @@
 
 }  // namespace
 
+void EstateState::Prepare(const std::string& text) {
+  this->prepared = {.text = text, .parsed = ParseEstateAndSections(text)};
+}
+
+ParsedEstate EstateState::TakeParsed(const std::string& text) {
+  auto taken = std::exchange(this->prepared, std::nullopt);
+  if (taken && taken->text == text)
+    return std::move(taken->parsed);
+  return ParseEstateAndSections(text);
+}
+
 ResultCode EstateState::Apply(const EstateSubmission& submission) {
-  if (submission.highest_wins && submission.version <= this->current_revision)
-    return ResultCode::kOk;
-  const SectionTexts updated = CanonicalSections(submission.text);
-  const std::uint64_t checksum = SectionsChecksum(updated);
-  if (submission.version <= this->current_revision)
-    return this->CheckAcceptedVersion(submission.version, checksum);
+  if (submission.version <= this->current_revision) {
+    if (submission.highest_wins)
+      return ResultCode::kOk;
+    return this->CheckAcceptedVersion(
+        submission.version,
+        SectionsChecksum(CanonicalSections(submission.text)));
+  }
   if (!submission.highest_wins &&
       submission.version != this->current_revision + 1)
     return ResultCode::kVersionNotNext;
-  this->current_estate = ParseEstate(submission.text);
-  this->ReplaceCurrent(submission, updated);
-  this->RecordAccepted(submission.version, checksum);
+  ParsedEstate parsed = this->TakeParsed(submission.text);
+  this->current_estate = std::move(parsed.estate);
+  this->ReplaceCurrent(submission, parsed.sections);
+  this->RecordAccepted(submission.version, SectionsChecksum(parsed.sections));
   return ResultCode::kOk;
 }
 
--- a/src/libestate/estate_state.h
+++ b/src/libestate/estate_state.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,10 @@
 /// changed it, so that only changed sections are sent.
 class EstateState {
  public:
+  /// Parses and validates a text that is to be submitted. Apply() uses the
+  /// result if it gets the same text next. Throws Error as ParseEstate.
+  void Prepare(const std::string& text);
+
   /// Applies a validated submission. Returns kOk also for a resend of an
   /// accepted version with the same content, kVersionConflict for a current or
   /// earlier version with other content (or one no longer recorded), and
@@ -55,6 +60,12 @@
  private:
   using SectionTexts = std::map<std::string, std::string>;
 
+  struct PreparedEstate {
+    std::string text;
+    ParsedEstate parsed;
+  };
+
+  ParsedEstate TakeParsed(const std::string& text);
   ResultCode CheckAcceptedVersion(std::uint64_t version,
                                   std::uint64_t checksum) const;
   void ReplaceCurrent(const EstateSubmission& submission,
@@ -65,6 +76,7 @@
   std::string current_text = "{}";
   std::string current_source;
   Estate current_estate;
+  std::optional<PreparedEstate> prepared;
   std::map<std::string, wire::EstateSection> sections;
   // Checksum of the accepted sections, by version.
   std::map<std::uint64_t, std::uint64_t> accepted_checksums;
--- a/src/libestate/estate_test.cc
+++ b/src/libestate/estate_test.cc
@@ -99,6 +99,23 @@
   CHECK_EQUAL(2, this->state.revision());
 }
 
+TEST(EstateState, APreparedTextIsAppliedOnlyAsItself) {
+  const std::string one = R"({"services": [{"name": "a"}]})";
+  const std::string two = R"({"services": [{"name": "b"}]})";
+  this->state.Prepare(two);
+  CHECK(this->Submit(1, one) == ResultCode::kOk);
+  STRCMP_EQUAL("a", this->state.estate().services.at(0).name.c_str());
+  this->state.Prepare(two);
+  CHECK(this->Submit(2, two) == ResultCode::kOk);
+  STRCMP_EQUAL("b", this->state.estate().services.at(0).name.c_str());
+  EstateState unprepared;
+  CHECK(unprepared.Apply({.version = 1, .text = one}) == ResultCode::kOk);
+  CHECK(unprepared.Apply({.version = 2, .text = two}) == ResultCode::kOk);
+  STRCMP_EQUAL(unprepared.Save().SerializeAsString().c_str(),
+               this->state.Save().SerializeAsString().c_str());
+  CHECK_THROWS(Error, this->state.Prepare(R"({"services": [{}]})"));
+}
+
 TEST(EstateState, TheHighestVersionWinsIfRequested) {
   const auto submit = [this](std::uint64_t version, const std::string& text) {
     return this->state.Apply(
--- a/src/libplacement/control_state.h
+++ b/src/libplacement/control_state.h
@@ -50,6 +50,12 @@
   /// Applies the log entry at `index`. Never throws for a decodable command.
   ApplyResult Apply(const wire::Command& command, std::uint64_t index);
 
+  /// Parses and validates the text of an estate that is to be submitted, which
+  /// then is not parsed again when it is applied. Throws Error as ParseEstate.
+  void PrepareEstate(const std::string& text) {
+    this->estate_state.Prepare(text);
+  }
+
   wire::ControlSnapshot Save() const;
   void Restore(const wire::ControlSnapshot& snapshot);
 
