--- a/src/libreplication/replica.cc
+++ b/src/libreplication/replica.cc
@@ -104,7 +104,7 @@
 ReplicaOutput Replica::TakeOutput(TimePoint now) {
   if (this->IsLeader()) {
     for (auto& [member, progress] : this->peers) {
-      if (progress.next_index <= this->last_index())
+      if (this->HasMoreToSend(progress))
         this->SendAppend(progress, now);
     }
   }
@@ -149,12 +149,16 @@
   this->snapshot_index = index;
   this->snapshot_term = term;
   this->snapshot_data = std::move(state);
+  this->output.snapshot = this->MakeSnapshot();
+}
+
+wire::Snapshot Replica::MakeSnapshot() const {
   wire::Snapshot snapshot;
-  snapshot.set_index(index);
-  snapshot.set_term(term);
-  *snapshot.mutable_membership() = membership;
+  snapshot.set_index(this->snapshot_index);
+  snapshot.set_term(this->snapshot_term);
+  *snapshot.mutable_membership() = this->memberships.begin()->second;
   snapshot.set_state(this->snapshot_data);
-  this->output.snapshot = std::move(snapshot);
+  return snapshot;
 }
 
 bool Replica::HasLease(TimePoint now) const {
@@ -334,6 +338,7 @@
   this->leader = leader;
   this->leadership_start = kNever;
   this->peers.clear();
+  this->transfer_bytes.clear();
   if (was_leader)
     this->ResetElectionDeadline(now);
 }
@@ -373,28 +378,30 @@
     this->SendAppendReply(message, false, hint, request.sent_ns());
     return;
   }
-  this->AppendReceivedEntries(request);
-  const std::uint64_t match = std::max<std::uint64_t>(
+  for (const wire::LogEntry& entry : request.entries())
+    this->AppendReceivedEntry(entry);
+  std::uint64_t match = std::max<std::uint64_t>(
       previous + static_cast<std::uint64_t>(request.entries_size()),
       std::min(this->snapshot_index, this->committed_index));
+  if (request.has_part() && this->ReceiveEntryPart(message))
+    match = std::max(match, request.part().index());
+  this->UpdateRole();
   this->committed_index =
       std::max(this->committed_index, std::min(request.commit_index(), match));
-  this->SendAppendReply(message, true, match, request.sent_ns());
+  this->SendAppendReply(message, true, match, request.sent_ns(),
+                        request.has_part() ? &request.part() : nullptr);
 }
 
-void Replica::AppendReceivedEntries(const wire::AppendRequest& request) {
-  for (const wire::LogEntry& entry : request.entries()) {
-    if (entry.index() <= this->snapshot_index)
-      continue;
-    if (entry.index() <= this->last_index()) {
-      if (this->TermAt(entry.index()) == entry.term())
-        continue;
-      this->TruncateLogFrom(entry.index());
-    }
-    this->AppendToLog(entry);
-    this->output.append.push_back(entry);
+void Replica::AppendReceivedEntry(const wire::LogEntry& entry) {
+  if (entry.index() <= this->snapshot_index)
+    return;
+  if (entry.index() <= this->last_index()) {
+    if (this->TermAt(entry.index()) == entry.term())
+      return;
+    this->TruncateLogFrom(entry.index());
   }
-  this->UpdateRole();
+  this->AppendToLog(entry);
+  this->output.append.push_back(entry);
 }
 
 void Replica::ReceiveSnapshot(const wire::ReplicaMessage& message,
@@ -404,35 +411,49 @@
     this->SendAppendReply(message, false, this->committed_index, 0);
     return;
   }
-  const wire::Snapshot& snapshot = request.snapshot();
-  if (snapshot.index() > this->committed_index) {
-    this->log.clear();
-    this->memberships.clear();
-    this->memberships[snapshot.index()] = snapshot.membership();
-    this->snapshot_index = snapshot.index();
-    this->snapshot_term = snapshot.term();
-    this->snapshot_data = snapshot.state();
-    this->committed_index = snapshot.index();
-    this->delivered_index = snapshot.index();
-    this->output.append.clear();
-    this->output.committed.clear();
-    this->output.snapshot = snapshot;
-    this->output.restore = true;
-    this->UpdateRole();
-  }
-  this->SendAppendReply(message, true, this->committed_index,
-                        request.sent_ns());
+  if (request.has_part())
+    this->ReceiveSnapshotPart(message);
+  else
+    this->InstallSnapshot(request.snapshot());
+  this->SendAppendReply(message, true, this->committed_index, request.sent_ns(),
+                        request.has_part() ? &request.part() : nullptr);
+}
+
+void Replica::InstallSnapshot(const wire::Snapshot& snapshot) {
+  if (snapshot.index() <= this->committed_index)
+    return;
+  this->log.clear();
+  this->memberships.clear();
+  this->memberships[snapshot.index()] = snapshot.membership();
+  this->snapshot_index = snapshot.index();
+  this->snapshot_term = snapshot.term();
+  this->snapshot_data = snapshot.state();
+  this->committed_index = snapshot.index();
+  this->delivered_index = snapshot.index();
+  this->output.append.clear();
+  this->output.committed.clear();
+  this->output.snapshot = snapshot;
+  this->output.restore = true;
+  this->UpdateRole();
 }
 
 void Replica::SendAppendReply(const wire::ReplicaMessage& message,
                               bool accepted,
                               std::uint64_t match_index,
-                              std::uint64_t sent_ns) {
+                              std::uint64_t sent_ns,
+                              const wire::TransferPart* part) {
   const MemberId to = ToMemberId(message.from());
   wire::ReplicaMessage reply = this->NewMessage(to);
-  reply.mutable_append_reply()->set_accepted(accepted);
-  reply.mutable_append_reply()->set_match_index(match_index);
-  reply.mutable_append_reply()->set_sent_ns(sent_ns);
+  wire::AppendReply* body = reply.mutable_append_reply();
+  body->set_accepted(accepted);
+  body->set_match_index(match_index);
+  body->set_sent_ns(sent_ns);
+  body->set_accepts_parts(true);
+  if (part != nullptr) {
+    body->set_part_index(part->index());
+    body->set_held_part_bytes(this->incoming ? this->incoming->bytes.size()
+                                             : 0);
+  }
   this->SendTo(to, std::move(reply));
 }
 
--- a/src/libreplication/replica.h
+++ b/src/libreplication/replica.h
@@ -11,6 +11,7 @@
 #include <pcg_random.hpp>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "libreplication/member_id.h"
@@ -151,6 +152,37 @@
   TimePoint leader_since() const { return this->leadership_start; }
 
  private:
+  // Limits both the size of one message and the unacknowledged bytes per peer.
+  // A larger limit delays heartbeats on a slow link; a smaller one causes more
+  // disk syncs.
+  static constexpr std::size_t kMaxBytesInFlight = 256U << 10U;
+
+  // An entry or a snapshot that is sent to a peer in parts.
+  struct OutgoingTransfer {
+    bool is_snapshot = false;
+    std::uint64_t index = 0;  // of the entry, or the snapshot; 0: none
+    std::uint64_t total_bytes = 0;
+    std::uint64_t sent_bytes = 0;
+    std::uint64_t acknowledged_bytes = 0;
+  };
+  // What has been received of an entry or a snapshot that comes in parts.
+  struct IncomingTransfer {
+    bool is_snapshot = false;
+    MemberId leader;
+    std::uint64_t leader_term = 0;
+    std::uint64_t index = 0;
+    std::uint64_t term = 0;
+    std::uint64_t total_bytes = 0;
+    std::string bytes;
+
+    bool IsSameAs(const IncomingTransfer& other) const {
+      return this->is_snapshot == other.is_snapshot &&
+             this->leader == other.leader &&
+             this->leader_term == other.leader_term &&
+             this->index == other.index && this->term == other.term &&
+             this->total_bytes == other.total_bytes;
+    }
+  };
   // The leader's replication state of one peer.
   struct Progress {
     MemberId member;
@@ -162,6 +194,9 @@
     TimePoint resend_deadline;       // when unacknowledged entries are resent
     TimePoint rejection_deadline;    // later ones are ignored until then
     std::uint64_t rejected_match_index = 0;  // named by the latest rejection
+    bool has_replied = false;                // since this replica leads
+    bool accepts_parts = false;
+    OutgoingTransfer transfer;
   };
 
   void ReceiveHello(const wire::ReplicaMessage& message, TimePoint now);
@@ -189,18 +224,46 @@
   void SendAppendReply(const wire::ReplicaMessage& message,
                        bool accepted,
                        std::uint64_t match_index,
-                       std::uint64_t sent_ns);
+                       std::uint64_t sent_ns,
+                       const wire::TransferPart* part = nullptr);
   void TickLeader(TimePoint now);
   void Broadcast(TimePoint now);
   void SendAppend(Progress& progress, TimePoint now);
   // Size of the entries that were sent to the peer and not acknowledged.
   std::size_t InFlightBytes(const Progress& progress) const;
   TimePoint ResendDeadline(const Progress& progress, TimePoint now) const;
+  bool MustAwaitReply(const Progress& progress) const;
+  bool HasMoreToSend(const Progress& progress) const;
+  wire::AppendRequest* AddAppendRequest(const Progress& progress,
+                                        wire::ReplicaMessage& message,
+                                        TimePoint now) const;
   void SendSnapshot(Progress& progress, TimePoint now);
+  void SendWholeSnapshot(Progress& progress, TimePoint now);
+  wire::Snapshot MakeSnapshot() const;
+  void InstallSnapshot(const wire::Snapshot& snapshot);
+
+  bool IsSentInParts(const Progress& progress, std::uint64_t index) const;
+  bool IsCurrent(const Progress& progress) const;
+  void StartTransfer(Progress& progress);
+  const std::string& TransferBytes(const OutgoingTransfer& transfer);
+  void DropUnusedTransferBytes();
+  void FillPart(Progress& progress, wire::TransferPart& part);
+  bool SendEntryParts(Progress& progress, TimePoint now);
+  void SendSnapshotParts(Progress& progress, TimePoint now);
+  bool UpdateTransfer(Progress& progress,
+                      const wire::AppendReply& reply,
+                      TimePoint now);
+  bool ReceiveEntryPart(const wire::ReplicaMessage& message);
+  void ReceiveSnapshotPart(const wire::ReplicaMessage& message);
+  bool ReceivePart(const wire::ReplicaMessage& message,
+                   const wire::TransferPart& part,
+                   bool is_snapshot);
+  std::string TakeIncoming();
+
   void AppendAsLeader(wire::LogEntry entry);
   void AppendToLog(wire::LogEntry entry);
   void TruncateLogFrom(std::uint64_t index);
-  void AppendReceivedEntries(const wire::AppendRequest& request);
+  void AppendReceivedEntry(const wire::LogEntry& entry);
   void AdvanceCommit();
   void DeliverCommitted();
   void UpdateMembership(TimePoint now);
@@ -254,6 +317,10 @@
   std::map<std::string, MemberId> unformed_peers;  // those with empty disks
   std::set<MemberId> votes;
   std::map<MemberId, Progress> peers;
+  // Serialized entries and snapshots of the transfers to the peers, by kind and
+  // index.
+  std::map<std::pair<bool, std::uint64_t>, std::string> transfer_bytes;
+  std::optional<IncomingTransfer> incoming;
   ReplicaOutput output;
 };
 
--- a/src/libreplication/replica_leader.cc
+++ b/src/libreplication/replica_leader.cc
@@ -9,10 +9,6 @@
 namespace {
 
 constexpr std::size_t kMaxEntriesPerAppend = 512;
-// Limits both the size of one message and the unacknowledged entries per peer.
-// A larger limit delays heartbeats on a slow link; a smaller one causes more
-// disk syncs.
-constexpr std::size_t kMaxBytesInFlight = 256U << 10U;
 // Unacknowledged entries are resent after two heartbeat intervals plus their
 // transfer time at this rate, which is a tenth of the slowest link between
 // control processes.
@@ -42,14 +38,17 @@
 void Replica::Broadcast(TimePoint now) {
   this->heartbeat_deadline = now + this->options.heartbeat_interval;
   for (auto& [member, progress] : this->peers) {
-    if (now >= progress.resend_deadline)
+    if (now >= progress.resend_deadline) {
       progress.next_index = progress.resend_index;
+      progress.transfer.sent_bytes = progress.transfer.acknowledged_bytes;
+    }
     this->SendAppend(progress, now);
   }
 }
 
 std::size_t Replica::InFlightBytes(const Progress& progress) const {
-  std::size_t bytes = 0;
+  std::size_t bytes =
+      progress.transfer.sent_bytes - progress.transfer.acknowledged_bytes;
   std::uint64_t index =
       std::max(progress.resend_index, this->snapshot_index + 1);
   for (; index < progress.next_index; ++index)
@@ -57,6 +56,24 @@
   return bytes;
 }
 
+// Whether it is not known yet if the peer accepts what comes next in parts.
+bool Replica::MustAwaitReply(const Progress& progress) const {
+  if (progress.has_replied || progress.next_index > this->last_index())
+    return false;
+  return progress.next_index <= this->snapshot_index
+             ? this->snapshot_data.size() > kMaxBytesInFlight
+             : this->IsSentInParts(progress, progress.next_index);
+}
+
+bool Replica::HasMoreToSend(const Progress& progress) const {
+  const OutgoingTransfer& transfer = progress.transfer;
+  const bool all_sent = transfer.index != 0 && this->IsCurrent(progress) &&
+                        transfer.sent_bytes == transfer.total_bytes;
+  return progress.next_index <= this->last_index() && !all_sent &&
+         !this->MustAwaitReply(progress) &&
+         this->InFlightBytes(progress) < kMaxBytesInFlight;
+}
+
 TimePoint Replica::ResendDeadline(const Progress& progress,
                                   TimePoint now) const {
   return now + 2 * this->options.heartbeat_interval +
@@ -64,42 +81,63 @@
                       kAssumedBytesPerMillisecond);
 }
 
+wire::AppendRequest* Replica::AddAppendRequest(const Progress& progress,
+                                               wire::ReplicaMessage& message,
+                                               TimePoint now) const {
+  wire::AppendRequest* request = message.mutable_append_request();
+  request->set_previous_index(progress.next_index - 1);
+  request->set_previous_term(this->TermAt(progress.next_index - 1));
+  request->set_commit_index(this->committed_index);
+  request->set_sent_ns(ToNanoseconds(now));
+  return request;
+}
+
 void Replica::SendAppend(Progress& progress, TimePoint now) {
   if (progress.next_index <= this->snapshot_index) {
     this->SendSnapshot(progress, now);
     return;
   }
   wire::ReplicaMessage message = this->NewMessage(progress.member);
-  wire::AppendRequest* request = message.mutable_append_request();
-  request->set_previous_index(progress.next_index - 1);
-  request->set_previous_term(this->TermAt(progress.next_index - 1));
-  request->set_commit_index(this->committed_index);
-  request->set_sent_ns(ToNanoseconds(now));
+  wire::AppendRequest* request = this->AddAppendRequest(progress, message, now);
   std::size_t bytes = this->InFlightBytes(progress);
+  bool in_parts = false;  // the next entry
   while (progress.next_index <= this->last_index() &&
          bytes < kMaxBytesInFlight &&
          static_cast<std::size_t>(request->entries_size()) <
              kMaxEntriesPerAppend) {
+    in_parts = this->IsSentInParts(progress, progress.next_index);
+    if (in_parts)
+      break;
     const wire::LogEntry& entry =
         this->log[progress.next_index - this->snapshot_index - 1];
     bytes += entry.command().size();
     *request->add_entries() = entry;
     progress.next_index += 1;
   }
-  if (request->entries_size() > 0)
+  const bool has_entries = request->entries_size() > 0;
+  if (has_entries) {
     progress.resend_deadline = this->ResendDeadline(progress, now);
-  this->SendTo(progress.member, std::move(message));
+    this->SendTo(progress.member, std::move(message));
+  }
+  const bool sent_parts = in_parts && this->SendEntryParts(progress, now);
+  if (!has_entries && !sent_parts)
+    this->SendTo(progress.member, std::move(message));
 }
 
 void Replica::SendSnapshot(Progress& progress, TimePoint now) {
+  const bool in_parts = this->snapshot_data.size() > kMaxBytesInFlight &&
+                        (progress.accepts_parts || !progress.has_replied);
+  if (in_parts)
+    this->SendSnapshotParts(progress, now);
+  else
+    this->SendWholeSnapshot(progress, now);
+}
+
+void Replica::SendWholeSnapshot(Progress& progress, TimePoint now) {
   wire::ReplicaMessage message = this->NewMessage(progress.member);
   wire::SnapshotRequest* request = message.mutable_snapshot_request();
   request->set_sent_ns(ToNanoseconds(now));
-  wire::Snapshot* snapshot = request->mutable_snapshot();
-  snapshot->set_index(this->snapshot_index);
-  snapshot->set_term(this->snapshot_term);
-  *snapshot->mutable_membership() = this->memberships.begin()->second;
-  snapshot->set_state(this->snapshot_data);
+  *request->mutable_snapshot() = this->MakeSnapshot();
   progress.next_index = this->snapshot_index + 1;
   progress.resend_deadline = now + kSnapshotResendInterval;
   this->SendTo(progress.member, std::move(message));
@@ -121,6 +159,9 @@
   progress.last_heard = now;
   progress.confirmed_send_time =
       std::max(progress.confirmed_send_time, FromNanoseconds(reply.sent_ns()));
+  progress.has_replied = true;
+  progress.accepts_parts = reply.accepts_parts();
+  const bool transfer_advanced = this->UpdateTransfer(progress, reply, now);
   if (!reply.accepted()) {
     // Several messages in flight may be rejected. Responding to each rejection
     // would multiply the messages to a peer that rejects all of them. One that
@@ -147,7 +188,7 @@
   // A long log is sent in parts; once all sent entries are acknowledged, the
   // next part follows immediately.
   const bool all_acknowledged = progress.next_index == progress.match_index + 1;
-  if (all_acknowledged && progress.next_index <= this->last_index())
+  if ((all_acknowledged || transfer_advanced) && this->HasMoreToSend(progress))
     this->SendAppend(progress, now);
   this->AdvanceCommit();
   this->UpdateMembership(now);
--- a/src/libreplication/replica_test.cc
+++ b/src/libreplication/replica_test.cc
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <memory>
 
 namespace savoryring {
@@ -23,6 +24,10 @@
   std::map<std::string, std::size_t> sent_bytes;
   std::size_t largest_message = 0;
   std::size_t largest_delivery = 0;  // bytes of committed entries in an output
+  // What a replica's link sends in a step; 0: messages arrive immediately.
+  std::size_t bytes_per_step = 0;
+  std::map<std::string, std::deque<OutgoingReplicaMessage>> link_queues;
+  std::set<std::string> without_parts;  // replicas of an earlier version
 
   void AddReplica(const std::string& id, std::uint64_t incarnation,
                   const StoredReplica& stored = {}) {
@@ -57,18 +62,64 @@
       const std::size_t bytes = outgoing.message.ByteSizeLong();
       this->sent_bytes[id] += bytes;
       this->largest_message = std::max(this->largest_message, bytes);
-      const bool lost = this->isolated.contains(id) ||
-                        this->isolated.contains(outgoing.to) ||
-                        !this->replicas.contains(outgoing.to);
-      if (!lost)
-        this->replicas.at(outgoing.to)->Receive(outgoing.message, this->now);
+      if (this->bytes_per_step > 0)
+        this->link_queues[id].push_back(outgoing);
+      else
+        this->Deliver(id, outgoing);
     }
   }
 
+  void Deliver(const std::string& from, OutgoingReplicaMessage outgoing) {
+    const bool lost = this->isolated.contains(from) ||
+                      this->isolated.contains(outgoing.to) ||
+                      !this->replicas.contains(outgoing.to);
+    if (lost)
+      return;
+    wire::ReplicaMessage& message = outgoing.message;
+    if (this->without_parts.contains(from) && message.has_append_reply())
+      message.mutable_append_reply()->set_accepts_parts(false);
+    if (this->without_parts.contains(outgoing.to) &&
+        message.has_append_request())
+      message.mutable_append_request()->clear_part();
+    this->replicas.at(outgoing.to)->Receive(message, this->now);
+  }
+
+  // Sends what the link of each replica carries in a step, in order.
+  void RunLinks() {
+    for (auto& [id, queue] : this->link_queues) {
+      std::size_t& budget = this->link_budgets[id];
+      budget += this->bytes_per_step;
+      while (!queue.empty()) {
+        const std::size_t bytes = queue.front().message.ByteSizeLong();
+        if (bytes > budget)
+          break;
+        budget -= bytes;
+        this->Deliver(id, queue.front());
+        queue.pop_front();
+      }
+      if (queue.empty())
+        budget = 0;
+    }
+  }
+  std::map<std::string, std::size_t> link_budgets;
+
+  // Runs until the replica has committed `count` commands. Checks that the
+  // leader keeps its lease meanwhile.
+  void RunUntilCommitted(const std::string& id, std::size_t count) {
+    const std::string leader = this->Leader();
+    for (int step = 0; step < 1000 && this->committed[id].size() < count;
+         ++step) {
+      this->RunFor(kStep);
+      CHECK(this->replicas.at(leader)->HasLease(this->now));
+    }
+    LONGS_EQUAL(count, this->committed[id].size());
+  }
+
   void RunFor(Milliseconds length) {
     const TimePoint end = this->now + length;
     while (this->now < end) {
       this->now += kStep;
+      this->RunLinks();
       for (auto& [id, replica] : this->replicas)
         replica->Tick(this->now);
       for (int round = 0; round < 4; ++round) {
@@ -313,6 +364,167 @@
   LONGS_EQUAL(30, this->committed[lagging].size());
 }
 
+// 200 Mbit/s, the slowest link between control processes.
+constexpr std::size_t kSlowLinkBytesPerStep = 250'000;
+constexpr std::size_t kLargeEntryBytes = 12'000'000;
+
+// Guards against a group whose leader is never heard by a majority, since its
+// heartbeats wait behind an entry that takes longer than the lease.
+TEST(Replica, ALeaderKeepsItsLeaseWhileItSendsALargeEntry) {
+  this->AddAllReplicas();
+  this->RunFor(Milliseconds(3000));
+  this->bytes_per_step = kSlowLinkBytesPerStep;
+  const std::string leader = this->Leader();
+  const std::uint64_t term = this->replicas.at(leader)->term();
+  this->replicas.at(leader)->Propose("before");
+  this->replicas.at(leader)->Propose(std::string(kLargeEntryBytes, 'x'));
+  this->replicas.at(leader)->Propose("after");
+  for (const std::string id : {"a", "b", "c"}) {
+    this->RunUntilCommitted(id, 3);
+    LONGS_EQUAL(kLargeEntryBytes, this->committed[id][1].size());
+    STRCMP_EQUAL("after", this->committed[id][2].c_str());
+  }
+  LONGS_EQUAL(term, this->replicas.at(leader)->term());
+  CHECK(this->largest_message < 500'000);
+  // Each peer gets the entry about once.
+  CHECK(this->sent_bytes[leader] < 3 * kLargeEntryBytes);
+}
+
+TEST(Replica, ALeaderKeepsItsLeaseWhileItSendsALargeSnapshot) {
+  this->AddAllReplicas();
+  this->RunFor(Milliseconds(3000));
+  const std::string leader = this->Leader();
+  const std::string lagging = leader == "a" ? "b" : "a";
+  this->isolated = {lagging};
+  this->replicas.at(leader)->Propose("x");
+  this->RunFor(Milliseconds(300));
+  Replica& source = *this->replicas.at(leader);
+  const std::string state(kLargeEntryBytes, 's');
+  source.Compact(source.commit_index(), state);
+  // The lagging replica decides whether the leader has a majority.
+  this->replicas.erase(leader == "c" ? "b" : "c");
+  this->bytes_per_step = kSlowLinkBytesPerStep;
+  this->isolated.clear();
+  this->sent_bytes.clear();
+  this->RunFor(Milliseconds(100));
+  const std::string current = this->Leader();
+  STRCMP_EQUAL(leader.c_str(), current.c_str());
+  for (int step = 0; step < 200; ++step) {
+    this->RunFor(kStep);
+    CHECK(source.HasLease(this->now));
+  }
+  CHECK(this->replicas.at(lagging)->snapshot_state() == state);
+  CHECK(this->sent_bytes[leader] < 2 * kLargeEntryBytes);
+  source.Propose("later");
+  this->RunUntilCommitted(lagging, 1);
+}
+
+// Guards against a message at each turn of the loop to a peer that is away.
+TEST(Replica, APeerThatDoesNotReplyGetsOnlyHeartbeatsForALargeEntry) {
+  this->AddAllReplicas();
+  this->RunFor(Milliseconds(3000));
+  const std::string first = this->Leader();
+  const std::string away = first == "a" ? "b" : "a";
+  this->isolated = {away};
+  this->replicas.at(first)->Propose(std::string(kLargeEntryBytes, 'x'));
+  this->RunFor(Milliseconds(500));
+  this->replicas.at(first)->TransferLeadership(this->now);
+  this->RunFor(Milliseconds(500));
+  const std::string leader = this->Leader();
+  CHECK(leader != first);
+  int messages = 0;
+  for (int turn = 0; turn < 100; ++turn) {
+    const ReplicaOutput output =
+        this->replicas.at(leader)->TakeOutput(this->now);
+    messages += static_cast<int>(
+        std::ranges::count(output.messages, away, &OutgoingReplicaMessage::to));
+  }
+  LONGS_EQUAL(0, messages);
+}
+
+TEST(Replica, ALargeEntryIsSentAgainToAReplicaThatRestarted) {
+  this->AddAllReplicas();
+  this->RunFor(Milliseconds(3000));
+  const std::string leader = this->Leader();
+  const std::string restarted = leader == "a" ? "b" : "a";
+  this->bytes_per_step = kSlowLinkBytesPerStep;
+  this->replicas.at(leader)->Propose(std::string(kLargeEntryBytes, 'x'));
+  this->RunFor(Milliseconds(200));
+  LONGS_EQUAL(0, this->committed[restarted].size());
+  StoredReplica stored{.entries = this->replicas.at(restarted)->Entries()};
+  stored.hard_state.set_term(this->replicas.at(restarted)->term());
+  const std::uint64_t incarnation =
+      this->replicas.at(restarted)->self().incarnation;
+  this->AddReplica(restarted, incarnation, stored);
+  this->RunFor(Milliseconds(5000));
+  LONGS_EQUAL(1, this->committed[restarted].size());
+}
+
+TEST(Replica, ANewLeaderFinishesALargeEntry) {
+  this->AddAllReplicas();
+  this->RunFor(Milliseconds(3000));
+  const std::string first = this->Leader();
+  this->bytes_per_step = kSlowLinkBytesPerStep;
+  this->replicas.at(first)->Propose(std::string(kLargeEntryBytes, 'x'));
+  this->RunFor(Milliseconds(200));
+  this->isolated = {first};
+  this->RunFor(Milliseconds(3000));
+  const std::string second = this->Leader();
+  CHECK(second != first);
+  this->replicas.at(second)->Propose(std::string(kLargeEntryBytes, 'y'));
+  this->RunFor(Milliseconds(200));
+  this->isolated.clear();
+  this->RunFor(Milliseconds(5000));
+  for (const std::string id : {"a", "b", "c"}) {
+    LONGS_EQUAL(1, this->committed[id].size());
+    CHECK(this->committed[id][0][0] == 'y');
+  }
+}
+
+TEST(Replica, AReplicaOfAnEarlierVersionGetsALargeEntryWhole) {
+  this->AddAllReplicas();
+  this->RunFor(Milliseconds(3000));
+  const std::string leader = this->Leader();
+  for (const std::string id : {"a", "b", "c"}) {
+    if (id != leader)
+      this->without_parts.insert(id);
+  }
+  this->replicas.at(leader)->Propose(std::string(kLargeEntryBytes, 'x'));
+  this->RunFor(Milliseconds(500));
+  for (const std::string id : {"a", "b", "c"})
+    LONGS_EQUAL(1, this->committed[id].size());
+}
+
+// Guards against a memory limit that is exceeded by a part of a large total.
+TEST(Replica, PartsThatDoNotFitTogetherAreIgnored) {
+  this->AddAllReplicas();
+  this->RunFor(Milliseconds(3000));
+  const std::string leader = this->Leader();
+  const std::string follower = leader == "a" ? "b" : "a";
+  Replica& receiver = *this->replicas.at(follower);
+  const std::uint64_t last = receiver.last_index();
+  wire::ReplicaMessage message;
+  message.mutable_from()->set_id(leader);
+  message.mutable_from()->set_incarnation(
+      this->replicas.at(leader)->self().incarnation);
+  message.set_term(receiver.term());
+  wire::AppendRequest* request = message.mutable_append_request();
+  request->set_previous_index(last);
+  request->set_previous_term(receiver.term());
+  wire::TransferPart* part = request->mutable_part();
+  part->set_index(last + 1);
+  part->set_term(receiver.term());
+  for (const std::uint64_t total : {UINT64_MAX, std::uint64_t{4}}) {
+    part->set_total_bytes(total);
+    part->set_data("garbage");
+    receiver.Receive(message, this->now);
+    const ReplicaOutput output = receiver.TakeOutput(this->now);
+    LONGS_EQUAL(0, output.append.size());
+    LONGS_EQUAL(
+        0, output.messages.back().message.append_reply().held_part_bytes());
+  }
+}
+
 // A group of the voters d, e and f, whose configured ids name others.
 StoredReplica StoredVoter() {
   StoredReplica stored;
