--- a/src/libtransport/duty_loop.cc
+++ b/src/libtransport/duty_loop.cc
@@ -13,6 +13,9 @@
 constexpr Milliseconds kTickInterval{10};
 // Replicas and agents wait a few hundred milliseconds for an answer.
 constexpr Milliseconds kLoggedStepTime{100};
+// Messages are read again if handling them took longer than this.
+constexpr Milliseconds kMaxReadAge{50};
+constexpr int kMaxReadRounds = 4;
 
 // Logs a step of the loop that took so long that messages waited.
 class StepTimer {
@@ -90,10 +93,7 @@
     // a millisecond.
     const Milliseconds timeout =
         RemainingTime(BootClock::now(), next_tick) + Milliseconds(1);
-    for (const Received& message : this->link->Poll(timeout)) {
-      const StepTimer timer(wire::MessageKind_Name(message.envelope.kind()));
-      this->handler->OnMessage(message, BootClock::now());
-    }
+    this->ReadMessages(timeout);
     this->RunPosted();
     const TimePoint now = BootClock::now();
     if (now >= next_tick) {
@@ -106,6 +106,22 @@
   }
 }
 
+// Deadlines are checked at a tick. An answer that arrived in time, during a
+// long step, must have been read before.
+void DutyLoop::ReadMessages(Milliseconds timeout) {
+  for (int round = 0; round < kMaxReadRounds; ++round) {
+    const auto messages =
+        this->link->Poll(round == 0 ? timeout : Milliseconds(0));
+    const TimePoint read_time = BootClock::now();
+    for (const Received& message : messages) {
+      const StepTimer timer(wire::MessageKind_Name(message.envelope.kind()));
+      this->handler->OnMessage(message, BootClock::now());
+    }
+    if (BootClock::now() < read_time + kMaxReadAge)
+      return;
+  }
+}
+
 void DutyLoop::RunPosted() {
   std::vector<std::function<void()>> work;
   {
--- a/src/libtransport/duty_loop.h
+++ b/src/libtransport/duty_loop.h
@@ -58,6 +58,7 @@
 
  private:
   void Run();
+  void ReadMessages(Milliseconds timeout);
   void RunPosted();
 
   Link* link;
