--- a/src/libcontrol/control_core.cc
+++ b/src/libcontrol/control_core.cc
@@ -14,6 +14,9 @@
 constexpr Milliseconds kProcessTimeout{3000};
 // Well below the time after which a sender asks another replica.
 constexpr Milliseconds kProgressInterval{100};
+// A leader that does not serve for this long between two ticks may have missed
+// reports. Agents wait twice as long for an answer.
+constexpr Milliseconds kBusyTime{200};
 constexpr std::string_view kEstatePath = "/estate";
 
 bool SubmitsEstate(const wire::ControlCall& call) {
@@ -208,6 +211,10 @@
                                 TimePoint now) {
   const std::string& agent = report.worker().agent();
   this->UpdateLeadership();
+  if (!this->Serves(now) && this->log_replica.IsLeader()) {
+    this->held_reports[agent] = report;
+    return;
+  }
   if (!this->Serves(now)) {
     SendAgentOrders redirect{.agent = agent};
     redirect.orders.set_leader_link(this->LeaderLink());
@@ -221,6 +228,23 @@
   this->AddAgentOrders(agent, now);
 }
 
+// A leader regains its lease within a round trip, or steps down soon.
+void ControlCore::HandleHeldReports(TimePoint now) {
+  if (this->log_replica.IsLeader() && !this->Serves(now))
+    return;
+  for (const auto& [agent, report] : std::exchange(this->held_reports, {}))
+    this->OnAgentReport(report, now);
+}
+
+// Reports that arrived meanwhile were not read, or not answered.
+void ControlCore::ExtendLeasesIfBusy(TimePoint now) {
+  if (!this->Serves(now))
+    return;
+  const TimePoint since = std::exchange(this->served_until, now);
+  if (since != kNever && now > since + kBusyTime)
+    this->job_scheduler->ExtendLeases(now - since);
+}
+
 void ControlCore::AddAgentOrders(const std::string& agent, TimePoint now) {
   SendAgentOrders effect{.agent = agent};
   effect.orders =
@@ -327,6 +351,8 @@
   this->unix_ms = unix_ms;
   this->log_replica.Tick(now);
   this->UpdateLeadership();
+  this->HandleHeldReports(now);
+  this->ExtendLeasesIfBusy(now);
   if (this->Serves(now))
     this->ReportProgress(now);
   this->DecideJobs(now);
@@ -371,6 +397,7 @@
                             this->log_replica.leader_since());
     this->job_scheduler.reset();
     this->reporting_agents.clear();
+    this->served_until = kNever;
     this->ReportEvent(Event::kBecameLeader, "term " + std::to_string(term));
   }
   this->was_leader = is_leader;
--- a/src/libcontrol/control_core.h
+++ b/src/libcontrol/control_core.h
@@ -152,6 +152,8 @@
   void ProcessJobEvents(TimePoint now);
   void ReportJobEvent(const JobEvent& event);
   void AddAgentOrders(const std::string& agent, TimePoint now);
+  void HandleHeldReports(TimePoint now);
+  void ExtendLeasesIfBusy(TimePoint now);
   std::uint64_t GroupTime(TimePoint now) const;
   void Restore(const wire::Snapshot& snapshot);
   void Propose(const std::vector<wire::Command>& commands);
@@ -172,6 +174,9 @@
   std::uint64_t group_time_base = 0;  // group time when leadership began
   std::int64_t unix_ms = 0;
   std::set<std::string> reporting_agents;
+  // The latest report of each agent that came while this leader had no lease.
+  std::map<std::string, wire::AgentReport> held_reports;
+  TimePoint served_until = kNever;  // the latest tick at which it served
   std::uint64_t last_applied = 0;
   std::uint64_t stored_index = 0;  // last entry read from the disk at startup
   // Size of the applied entries that are not in a snapshot.
--- a/src/libcontrol/control_core_test.cc
+++ b/src/libcontrol/control_core_test.cc
@@ -229,7 +229,8 @@
   constexpr std::size_t kEstateBytes = 12U << 20U;
   this->StartAllNodes();
   this->Run(300);
-  this->SubmitEstate(1, kEstateBytes);
+  this->SendSubmission(Submission(1, kEstateBytes));
+  this->Run(200);
   const std::uint64_t first_index =
       this->Leader()->core->replica().first_index();
   for (int i = 0; i < 20; ++i)
@@ -369,4 +370,79 @@
   LONGS_EQUAL(1, this->Leader()->core->state().estate().revision());
 }
 
+// Guards against agents that look for another leader since one that leads on
+// had no lease for a moment.
+TEST(ControlCore, AReportThatComesWhileTheLeaseHasLapsedIsAnsweredAfterwards) {
+  this->StartAllNodes();
+  this->Run(300);
+  this->SubmitAndFinishJob();
+  Node* leader = this->Leader();
+  this->now += Milliseconds(340);
+  CHECK(!leader->core->Serves(this->now));
+  leader->core->OnAgentReport(this->Report(), this->now);
+  CHECK(leader->core->TakeEffects(this->now).empty());
+  this->agent_orders.clear();
+  for (int i = 0; i < 20; ++i) {
+    this->now += Milliseconds(10);
+    for (Node& node : this->nodes) {
+      const auto inbox = std::move(this->inboxes[node.id]);
+      this->inboxes[node.id].clear();
+      for (const wire::ReplicaMessage& message : inbox)
+        node.core->OnReplicaMessage(message, this->now);
+      node.core->OnTick(this->now);
+      this->Flush(node);
+    }
+  }
+  LONGS_EQUAL(1, this->agent_orders.size());
+  CHECK(this->agent_orders[0].orders.lease_ms() > 0);
+}
+
+TEST(ControlCore, AReportThatALeaderHeldIsRedirectedOnceItLeadsNoMore) {
+  this->StartAllNodes();
+  this->Run(300);
+  this->SubmitAndFinishJob();
+  Node* leader = this->Leader();
+  this->now += Milliseconds(340);
+  leader->core->OnAgentReport(this->Report(), this->now);
+  for (int i = 0; i < 100; ++i) {
+    this->now += Milliseconds(10);
+    leader->core->OnTick(this->now);
+  }
+  CHECK(!leader->core->replica().IsLeader());
+  this->agent_orders.clear();
+  this->Flush(*leader);
+  LONGS_EQUAL(1, this->agent_orders.size());
+  LONGS_EQUAL(0, this->agent_orders[0].orders.lease_ms());
+}
+
+// Guards against sound workers that are given up, and whose finished tasks run
+// again, as their leader was too busy to read their reports.
+TEST(ControlCore, TimeInWhichTheLeaderWasBusyCountsAgainstNoLease) {
+  this->StartAllNodes();
+  this->Run(300);
+  this->SubmitAndFinishJob();
+  Node* leader = this->Leader();
+  // For 7 s the leader replicates and does nothing else but long steps, so that
+  // it reads no report.
+  for (int step = 0; step < 28; ++step) {
+    this->now += Milliseconds(250);
+    for (int round = 0; round < 3; ++round) {
+      for (Node& node : this->nodes) {
+        const auto inbox = std::move(this->inboxes[node.id]);
+        this->inboxes[node.id].clear();
+        for (const wire::ReplicaMessage& message : inbox)
+          node.core->OnReplicaMessage(message, this->now);
+        node.core->OnTick(this->now);
+        this->Flush(node);
+      }
+    }
+  }
+  POINTERS_EQUAL(leader, this->Leader());
+  CHECK(leader->lost_workers.empty());
+  // A worker that is gone is given up later.
+  this->reporting_agent = "b";
+  this->Run(800);
+  LONGS_EQUAL(1, leader->lost_workers.size());
+}
+
 }  // namespace savoryring
--- a/src/libjobs/job_scheduler.cc
+++ b/src/libjobs/job_scheduler.cc
@@ -204,6 +204,13 @@
   return command;
 }
 
+// Only this leader's view is extended: the agents, whose workers stop earlier,
+// know nothing of it.
+void JobScheduler::ExtendLeases(std::chrono::nanoseconds busy_time) {
+  for (auto& [agent, agent_state] : this->agents)
+    agent_state.max_lease_end += busy_time;
+}
+
 namespace {
 
 // Measurements are noisy, so that the speed is smoothed exponentially.
--- a/src/libjobs/job_scheduler.h
+++ b/src/libjobs/job_scheduler.h
@@ -5,6 +5,7 @@
 #ifndef SAVORYRING_LIBJOBS_JOB_SCHEDULER_H_
 #define SAVORYRING_LIBJOBS_JOB_SCHEDULER_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -117,6 +118,9 @@
   wire::AgentOrders OrdersFor(const JobTable& table,
                               const std::string& agent,
                               TimePoint now);
+  /// Gives all agents more time to report, as the leader read no reports for
+  /// `busy_time`.
+  void ExtendLeases(std::chrono::nanoseconds busy_time);
   /// Updates the scheduler's state after a change of the table.
   void OnEvent(const JobEvent& event, TimePoint now);
 
