ReplicaStore: one checksum for what is written together

After a loss of power each part of an unsynced write may be present, missing or torn. One write could hold several records: a valid one behind a damaged one was taken for lost acknowledged entries, and the process ended at each start. Change: entries and hard state that are written together are one record, of a kind that earlier versions can't read. Tests: WriteThreeEntries stores its entries one after the other, so that the tests of records that were synced separately go on to test just that.

--- a/src/libreplication/replica_store.cc
+++ b/src/libreplication/replica_store.cc
@@ -193,6 +193,20 @@
   return record;
 }
 
+wire::StoredRecord RecordOf(const ReplicaOutput& output) {
+  if (output.append.empty())
+    return HardStateRecord(*output.hard_state);
+  if (!output.hard_state && output.append.size() == 1)
+    return EntryRecord(output.append.front());
+  wire::StoredRecord record;
+  wire::StoredBatch* batch = record.mutable_batch();
+  if (output.hard_state)
+    *batch->mutable_hard_state() = *output.hard_state;
+  for (const wire::LogEntry& entry : output.append)
+    *batch->add_entries() = entry;
+  return record;
+}
+
 }  // namespace
 
 std::string EncodeRecord(const wire::StoredRecord& record) {
@@ -237,13 +251,8 @@
     this->RewriteLog(retained);
     return;
   }
-  std::string bytes;
-  if (output.hard_state)
-    bytes += EncodeRecord(HardStateRecord(*output.hard_state));
-  for (const wire::LogEntry& entry : output.append)
-    bytes += EncodeRecord(EntryRecord(entry));
-  if (!bytes.empty())
-    this->AppendAndSync(bytes);
+  if (output.hard_state || !output.append.empty())
+    this->AppendAndSync(EncodeRecord(RecordOf(output)));
 }
 
 // They were left by a process that ended while it replaced a file.
@@ -323,12 +332,26 @@
 }
 
 void ReplicaStore::ApplyRecord(wire::StoredRecord record) {
-  if (record.has_hard_state()) {
-    this->last_hard_state = record.hard_state();
-    return;
+  switch (record.body_case()) {
+    case wire::StoredRecord::kHardState:
+      this->last_hard_state = record.hard_state();
+      return;
+    case wire::StoredRecord::kEntry:
+      this->ApplyEntry(std::move(*record.mutable_entry()));
+      return;
+    case wire::StoredRecord::kBatch:
+      if (record.batch().has_hard_state())
+        this->last_hard_state = record.batch().hard_state();
+      for (wire::LogEntry& entry : *record.mutable_batch()->mutable_entries())
+        this->ApplyEntry(std::move(entry));
+      return;
+    case wire::StoredRecord::BODY_NOT_SET:
+      throw Error(ResultCode::kDamagedLog, "a record of an unknown kind");
   }
+}
+
+void ReplicaStore::ApplyEntry(wire::LogEntry entry) {
   LogEntries& entries = this->stored.entries;
-  wire::LogEntry& entry = *record.mutable_entry();
   while (!entries.empty() && entries.back().index() >= entry.index())
     entries.pop_back();
   const bool has_gap =
--- a/src/libreplication/replica_store.h
+++ b/src/libreplication/replica_store.h
@@ -1,9 +1,9 @@
 /// Persistent storage of one replica: its identity, log and snapshot.
 ///
-/// The log is an append-only file of checksummed records. An incomplete record
-/// that an interrupted write left at the end is truncated at startup. A damaged
-/// record that is followed by valid ones stops the replica, which must then
-/// restart with an empty disk.
+/// The log is an append-only file of checksummed records, one for each write. A
+/// record that an interrupted write left incomplete or damaged at the end is
+/// truncated at startup. A damaged record that is followed by valid ones stops
+/// the replica, which must then restart with an empty disk.
 #ifndef SAVORYRING_LIBREPLICATION_REPLICA_STORE_H_
 #define SAVORYRING_LIBREPLICATION_REPLICA_STORE_H_
 
@@ -46,6 +46,7 @@
   void ReadSnapshot();
   void ReadLog();
   void ApplyRecord(wire::StoredRecord record);
+  void ApplyEntry(wire::LogEntry entry);
   // Returns whether any were dropped.
   bool DropEntriesSupersededBySnapshot();
   void OpenLog();
--- a/src/libreplication/replica_store_test.cc
+++ b/src/libreplication/replica_store_test.cc
@@ -87,13 +87,15 @@
     std::ofstream(this->LogPath(), std::ios::binary) << old_log;
   }
 
+  // Each of them is synced before the next one is written.
   void WriteThreeEntries() {
     ReplicaStore store(this->directory, "a", 7);
     ReplicaOutput output;
     output.hard_state.emplace().set_term(4);
-    output.append = {Entry(1, 1, "one"), Entry(2, 1, "two"),
-                     Entry(3, 4, "three")};
     store.Store(output, {});
+    StoreEntry(store, Entry(1, 1, "one"));
+    StoreEntry(store, Entry(2, 1, "two"));
+    StoreEntry(store, Entry(3, 4, "three"));
   }
 };
 
@@ -270,4 +272,33 @@
     CHECK(!fs::exists(this->directory + name));
 }
 
+// Guards against a replica that takes a write which a power loss has torn, and
+// of which a later part reached the disk, for lost acknowledged entries.
+TEST(ReplicaStore, AWriteThatIsTornInItsMiddleIsTruncated) {
+  this->WriteThreeEntries();
+  const std::string synced = ReadFile(this->LogPath());
+  {
+    ReplicaStore store(this->directory, "a", 99);
+    ReplicaOutput output;
+    output.hard_state.emplace().set_term(5);
+    output.append = {Entry(4, 5, "four"), Entry(5, 5, "five"),
+                     Entry(6, 5, "six")};
+    store.Store(output, {});
+  }
+  const std::string written = ReadFile(this->LogPath());
+  for (std::size_t hole = synced.size(); hole < written.size(); ++hole) {
+    std::string bytes = written;
+    for (std::size_t at = hole; at < hole + 8 && at < bytes.size(); ++at)
+      bytes[at] = static_cast<char>(bytes[at] ^ 1);
+    std::ofstream(this->LogPath(), std::ios::binary) << bytes;
+    const StoredReplica stored = this->Reopen();
+    CHECK_EQUAL(3, stored.entries.size());
+    CHECK_EQUAL(4, stored.hard_state.term());
+  }
+  std::ofstream(this->LogPath(), std::ios::binary) << written;
+  const StoredReplica stored = this->Reopen();
+  CHECK_EQUAL(6, stored.entries.size());
+  CHECK_EQUAL(5, stored.hard_state.term());
+}
+
 }  // namespace savoryring
