--- a/src/libestate/estate.cc
+++ b/src/libestate/estate.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "libbase/json_checker.h"
+#include "libestate/estate_document.h"
 
 namespace savoryring {
 namespace {
@@ -357,13 +358,17 @@
   return *this;
 }
 
+Estate ParseEstateDocument(const nlohmann::json& document) {
+  return EstateParser(document).Parse();
+}
+
 Estate ParseEstate(std::string_view text) {
-  return EstateParser(ParseJson(text)).Parse();
+  return ParseEstateDocument(ParseJson(text));
 }
 
 ParsedEstate ParseEstateAndSections(std::string_view text) {
   const nlohmann::json document = ParseJson(text);
-  return {.estate = EstateParser(document).Parse(),
+  return {.estate = ParseEstateDocument(document),
           .sections = SectionsOf(document)};
 }
 
