--- a/src/libjobs/crashing_task_test.cc
+++ b/src/libjobs/crashing_task_test.cc
@@ -386,4 +386,39 @@
   CHECK(counted > 0);
 }
 
+// Guards against a job that is shown as failed, and stopped on sound workers,
+// since one worker is in a crash loop.
+TEST(CrashingTask, IsNotGivenUpAsOneWorkerCrashesRepeatedly) {
+  constexpr int kWorkers = 7;
+  this->AddWorkers(kWorkers);
+  this->Submit("monitors", kWorkers, [](wire::JobStep* step) {
+    step->set_lasting(true);
+    step->set_spread_limit(1);
+  });
+  this->Run(Milliseconds(3000));
+  LONGS_EQUAL(kWorkers, this->RunsOf("monitors"));
+  Worker& looping = this->workers.at("w6");
+  for (int i = 0; i < 7; ++i) {
+    for (int step = 0; step < 400 && looping.runs.empty(); ++step)
+      this->Run(kStep);
+    CHECK(!looping.runs.empty());
+    for (auto& [name, begun] : looping.begun)
+      begun = this->now;
+    this->Crash(looping);
+  }
+  this->Run(Milliseconds(9000));
+  CHECK(this->StateOf("monitors") == wire::JOB_STATE_RUNNING);
+  LONGS_EQUAL(kWorkers, this->RunsOf("monitors"));
+}
+
+// Crashes of two workers by turns are no loop of one of them.
+TEST(CrashingTask, IsGivenUpThoughOnlyTwoWorkersFitIt) {
+  this->AddWorkers(2);
+  this->MakeCulprit("j", 0);
+  this->Submit("j", 1);
+  this->Run(Milliseconds(60'000));
+  CHECK(this->StateOf("j") == wire::JOB_STATE_FAILED);
+  CHECK(this->culprit_crashes <= 5);
+}
+
 }  // namespace savoryring
--- a/src/libjobs/job_table_snapshot.cc
+++ b/src/libjobs/job_table_snapshot.cc
@@ -22,6 +22,7 @@
       stored_task->set_checkpoint(task.checkpoint);
       stored_task->set_crashes(task.crashes);
       stored_task->set_sole_crashes(task.sole_crashes);
+      stored_task->set_last_crash_agent(task.last_crash_agent);
     }
   }
 }
@@ -67,7 +68,8 @@
                           .agent = task.agent(),
                           .checkpoint = task.checkpoint(),
                           .crashes = task.crashes(),
-                          .sole_crashes = task.sole_crashes()});
+                          .sole_crashes = task.sole_crashes(),
+                          .last_crash_agent = task.last_crash_agent()});
     step.done += state == JobTaskState::kDone ? 1 : 0;
     step.waiting += state == JobTaskState::kWaiting ? 1 : 0;
   }
