--- a/src/libjobs/job_scheduler.cc
+++ b/src/libjobs/job_scheduler.cc
@@ -141,7 +141,7 @@
   const JobWorker* known = table.FindWorker(worker.agent());
   const bool older_incarnation =
       known != nullptr && !IsSameIncarnation(known->description, worker) &&
-      worker.born_ms() < known->description.born_ms();
+      !IsLaterIncarnation(*known, worker);
   if (older_incarnation)
     return std::nullopt;
   if (agent_state.born_ms != worker.born_ms()) {
@@ -392,6 +392,12 @@
       !IsLossInLog(agent_state) &&
       IsSameIncarnation(worker->description, agent_state.description);
   orders.set_overfilled(!current);
+  const bool taken_for_earlier =
+      worker != nullptr && !agent_state.description.instance().empty() &&
+      !IsSameIncarnation(worker->description, agent_state.description) &&
+      !IsLaterIncarnation(*worker, agent_state.description);
+  if (taken_for_earlier)
+    orders.set_known_born_ms(worker->description.born_ms());
   if (!current)
     return orders;
   if (!agent_state.lease_granted) {
--- a/src/libjobs/job_scheduler_test.cc
+++ b/src/libjobs/job_scheduler_test.cc
@@ -264,6 +264,50 @@
   LONGS_EQUAL(0, this->CountRunning("j"));
 }
 
+// Guards against a sound worker that gets nothing since its birth is lower than
+// that of its life before, when its clock was ahead.
+TEST(JobScheduler, ALifeWithALowerBirthIsTakenUpIfItNamesTheOneItReplaces) {
+  const auto report_of = [this](std::int64_t born, std::int64_t replaces) {
+    wire::AgentReport report = this->Report("a");
+    report.mutable_worker()->set_born_ms(born);
+    report.mutable_worker()->set_replaces_born_ms(replaces);
+    return report;
+  };
+  const auto known_born_ms = [this] {
+    return this->scheduler.OrdersFor(this->table, "a", this->now)
+        .known_born_ms();
+  };
+  const auto registered = [this] {
+    return this->table.FindWorker("a")->description.born_ms();
+  };
+  this->Deliver(report_of(2000, 0));
+  LONGS_EQUAL(0, known_born_ms());
+  this->Deliver(report_of(1300, 0));
+  LONGS_EQUAL(2000, registered());
+  LONGS_EQUAL(2000, known_born_ms());
+  this->Deliver(report_of(1300, 2000));
+  LONGS_EQUAL(1300, registered());
+  LONGS_EQUAL(0, known_born_ms());
+  this->Submit("j", 1, 1000, 0);
+  this->Decide();
+  LONGS_EQUAL(1, this->CountRunning("j"));
+  // Reports on earlier lives that come late, at this leader or the next one.
+  JobTable restored;
+  restored.Restore(this->table.Save());
+  this->table = std::move(restored);
+  for (const std::int64_t born : {2000, 1200}) {
+    this->Deliver(report_of(born, 0));
+    LONGS_EQUAL(1300, registered());
+  }
+  // A later life whose birth is still below the highest one.
+  this->Deliver(report_of(1400, 2000));
+  LONGS_EQUAL(1300, registered());
+  this->Deliver(report_of(1400, 1300));
+  LONGS_EQUAL(1400, registered());
+  this->Deliver(report_of(2100, 0));
+  LONGS_EQUAL(2100, registered());
+}
+
 // A worker that was given up may be taken up again with runs that go on.
 TEST(JobScheduler, RunsThatAreNoLongerAssignedCountUntilTheyAreGone) {
   this->Deliver(this->Report("a"));
--- a/src/libjobs/job_table.cc
+++ b/src/libjobs/job_table.cc
@@ -24,6 +24,18 @@
          std::to_string(name.step()) + "." + std::to_string(name.index());
 }
 
+bool IsLaterIncarnation(const JobWorker& known,
+                        const wire::JobWorkerDescription& reported) {
+  const std::int64_t known_born_ms = known.description.born_ms();
+  if (reported.replaces_born_ms() != 0 &&
+      reported.replaces_born_ms() == known_born_ms)
+    return true;
+  // An incarnation that was replaced by one with a lower birth stays earlier.
+  return reported.born_ms() > known.highest_born_ms ||
+         (reported.born_ms() == known_born_ms &&
+          known_born_ms == known.highest_born_ms);
+}
+
 JobApplyResult JobTable::Apply(const wire::JobCommand& command) {
   this->group_time = std::max(this->group_time, command.group_time_ms());
   JobApplyResult result;
@@ -169,13 +181,15 @@
   const wire::JobWorkerDescription& known = worker.description;
   const bool same_incarnation = known.born_ms() == description.born_ms() &&
                                 known.instance() == description.instance();
-  if (!same_incarnation && description.born_ms() < known.born_ms())
+  if (!same_incarnation && !IsLaterIncarnation(worker, description))
     return;
   if (!same_incarnation) {
     this->ReleaseAllRuns(worker, "the worker began a new life");
     worker.acknowledged = 0;
   }
   worker.description = description;
+  worker.highest_born_ms =
+      std::max(worker.highest_born_ms, description.born_ms());
   worker.lost = false;
   this->changed_agents.insert(description.agent());
 }
--- a/src/libjobs/job_table.h
+++ b/src/libjobs/job_table.h
@@ -41,8 +41,8 @@
   std::uint32_t failures = 0;  ///< Runs that ended with RUN_END_FAILED.
   std::string agent;           ///< Agent of the current or latest run.
   std::string checkpoint;
-  /// Workers that crashed just after they may have begun a run of this task. One
-  /// that does so several times in a row counts once.
+  /// Workers that crashed just after they may have begun a run of this task.
+  /// One that does so several times in a row counts once.
   std::uint32_t crashes = 0;
   /// Those of them that had begun runs of no other job.
   std::uint32_t sole_crashes = 0;
@@ -120,6 +120,7 @@
 /// The current incarnation of the worker that one agent serves.
 struct JobWorker {
   wire::JobWorkerDescription description;
+  std::int64_t highest_born_ms = 0;   ///< Of all incarnations so far.
   bool lost = false;                  ///< Its runs were released.
   std::uint64_t acknowledged = 0;     ///< Ends up to this number are committed.
   std::int64_t counted_crash_ms = 0;  ///< `born_ms` of the latest crash.
@@ -131,6 +132,12 @@
   std::set<TaskKey> runs;
 };
 
+/// Whether `reported` is later than the known incarnation. Births are readings
+/// of a clock that may jump: a lower one counts if the agent has asked the
+/// worker since it learned of the known incarnation.
+bool IsLaterIncarnation(const JobWorker& known,
+                        const wire::JobWorkerDescription& reported);
+
 struct JobApplyResult {
   ResultCode code = ResultCode::kOk;
 };
--- a/src/libjobs/job_table_snapshot.cc
+++ b/src/libjobs/job_table_snapshot.cc
@@ -104,6 +104,7 @@
     stored->set_lost(worker.lost);
     stored->set_acknowledged(worker.acknowledged);
     stored->set_counted_crash_ms(worker.counted_crash_ms);
+    stored->set_highest_born_ms(worker.highest_born_ms);
   }
   return snapshot;
 }
@@ -118,6 +119,8 @@
     worker.lost = stored.lost();
     worker.acknowledged = stored.acknowledged();
     worker.counted_crash_ms = stored.counted_crash_ms();
+    worker.highest_born_ms =
+        std::max(stored.highest_born_ms(), worker.description.born_ms());
   }
   for (const wire::StoredJob& stored : snapshot.jobs())
     this->RestoreJob(stored);
--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -67,8 +67,13 @@
     this->IssueCalls(now);
     return true;
   }
-  if (this->worker && description.born_ms() < this->worker->born_ms())
-    return false;
+  // An announcement of an earlier life may come late.
+  const bool other_is_likelier =
+      this->candidate && !this->IsCandidate(description) &&
+      description.born_ms() < this->candidate->born_ms() &&
+      now < this->candidate_deadline;
+  if (other_is_likelier)
+    return true;
   if (this->options.mutations.skip_confirmation) {
     this->ReplaceWorker(std::move(description), now);
     this->IssueCalls(now);
@@ -133,9 +138,11 @@
 
 void WorkerAgent::UpdateWorker(wire::JobWorkerDescription description,
                                TimePoint now) {
-  if (this->worker && SameIncarnation(*this->worker, description) &&
-      this->worker->draining())
-    description.set_draining(true);
+  if (this->worker && SameIncarnation(*this->worker, description)) {
+    description.set_draining(description.draining() ||
+                             this->worker->draining());
+    description.set_replaces_born_ms(this->worker->replaces_born_ms());
+  }
   this->HoldStartsIfUnknown(description, now);
   const bool changed = !this->worker || this->worker->SerializeAsString() !=
                                             description.SerializeAsString();
@@ -218,6 +225,7 @@
   this->unknown_room_ns = 0;
   this->overfilled = false;
   this->unanswered_start_calls = 0;
+  this->life_to_replace = 0;
   this->throttler = BestEffortThrottler();
 }
 
@@ -285,6 +293,10 @@
   if (this->IsOvertaken(orders, now))
     return;
   this->answered_report_ns = orders.echoed_ns();
+  if (orders.known_born_ms() != 0) {
+    this->life_to_replace = orders.known_born_ms();
+    this->life_to_replace_heard = now;
+  }
   // Skips orders that answer the latest `worker_gone` report or an earlier one:
   // on that report the leader may have released the worker's runs.
   if (orders.echoed_ns() <= this->last_gone_report_ns)
@@ -678,6 +690,11 @@
     return;
   }
   this->next_watch = now + kWatchInterval;
+  if (this->life_to_replace != 0 &&
+      this->watch_sent >= this->life_to_replace_heard) {
+    this->worker->set_replaces_born_ms(std::exchange(this->life_to_replace, 0));
+    this->report_pending = true;
+  }
   if (!std::exchange(this->has_list, true)) {
     this->report_pending = true;
     for (auto& [name, start_state] : this->starts)
--- a/src/libjobs/worker_agent.h
+++ b/src/libjobs/worker_agent.h
@@ -277,6 +277,10 @@
   // The latest announced incarnation that the worker has not confirmed.
   std::optional<wire::JobWorkerDescription> candidate;
   TimePoint candidate_deadline;  // it is no longer asked for after this
+  // Birth of the life that the leader takes for a later one than the worker; 0:
+  // none. The worker has to answer a watch call that was sent after this time.
+  std::int64_t life_to_replace = 0;
+  TimePoint life_to_replace_heard;
   bool confirm_open = false;
   TimePoint next_confirm;
   std::uint64_t token = 0;  // fencing token: the leader's term
--- a/src/libjobs/worker_agent_test.cc
+++ b/src/libjobs/worker_agent_test.cc
@@ -228,6 +228,54 @@
   LONGS_EQUAL(50, this->agent.description()->born_ms());
 }
 
+// Guards against a worker that gets no runs for all its life, as its clock had
+// been ahead when the life before began.
+TEST(WorkerAgent, ALifeWithALowerBirthIsTakenUpOnceTheWorkerConfirmsIt) {
+  this->Announce(2000);
+  this->AdvanceTime(Milliseconds(100));
+  this->AnnounceOther(1300);
+  LONGS_EQUAL(1, this->confirms.size());
+  this->ConfirmAll(CallOutcome::kOtherIncarnation);
+  LONGS_EQUAL(2000, this->agent.description()->born_ms());
+  this->AnnounceOther(1300);
+  this->ConfirmAll();
+  LONGS_EQUAL(1300, this->agent.description()->born_ms());
+}
+
+// A late announcement of an earlier life must not hide that of the latest one.
+TEST(WorkerAgent, OfTwoUnconfirmedLivesTheOneBornLaterIsAsked) {
+  this->AnnounceOther(99);
+  this->AnnounceOther(50);
+  this->DeliverToken();
+  this->ConfirmAll();
+  LONGS_EQUAL(99, this->agent.description()->born_ms());
+}
+
+TEST(WorkerAgent, ALifeThatTheLeaderTakesForEarlierNamesTheOneItReplaces) {
+  this->Announce(1300);
+  this->AdvanceTime(Milliseconds(100));
+  LONGS_EQUAL(0, this->reports.back().worker().replaces_born_ms());
+  wire::AgentOrders orders;
+  orders.set_term(5);
+  orders.set_echoed_ns(ToNanoseconds(this->now));
+  orders.set_known_born_ms(2000);
+  const WatchCall sent_before = this->watches.back();
+  this->now += Milliseconds(10);
+  this->DeliverOrders(orders);
+  // The worker may have ended since this call was sent.
+  this->agent.OnWatchResult(sent_before, CallOutcome::kDone, {}, this->now);
+  this->Collect();
+  this->AdvanceTime(Milliseconds(100));
+  LONGS_EQUAL(0, this->reports.back().worker().replaces_born_ms());
+  this->agent.OnWatchResult(this->watches.back(), CallOutcome::kDone, {},
+                            this->now);
+  this->Collect();
+  this->AdvanceTime(Milliseconds(100));
+  LONGS_EQUAL(2000, this->reports.back().worker().replaces_born_ms());
+  this->Announce(1300);
+  LONGS_EQUAL(2000, this->agent.description()->replaces_born_ms());
+}
+
 TEST(WorkerAgent, AWorkerKeepsItsServiceForLife) {
   this->Announce();
   wire::JobWorkerDescription foreign = *this->agent.description();
