JobScheduler: late failures do not prolong a suspension

Cause: each failure of a run from before the suspension, which may end seconds later, began the suspension of 8 s again. Change: a failure during a suspension, or of a run from before it, does not begin another one. A failed probe does.

--- a/src/libjobs/job_scheduler.cc
+++ b/src/libjobs/job_scheduler.cc
@@ -650,6 +650,14 @@
   if (this->failure_attribution.IsSuspect(event.job) ||
       !this->IsOnProbation(event.agent, now))
     return;
+  // A run from before the suspension says nothing about the time since.
+  const bool began_before =
+      now < agent_state.suspended_until ||
+      (tracked != agent_state.runs.end() && tracked->second.run == event.run &&
+       tracked->second.started <= agent_state.suspended_since);
+  if (began_before)
+    return;
+  agent_state.suspended_since = now;
   agent_state.suspended_until = now + this->options.suspension_time;
   this->suspended_agents.push_back(event.agent);
 }
--- a/src/libjobs/job_scheduler.h
+++ b/src/libjobs/job_scheduler.h
@@ -199,6 +199,7 @@
     bool has_list = false;
     TimePoint next_learning;
     TimePoint next_learned_send;
+    TimePoint suspended_since;  // when the latest suspension began
     TimePoint suspended_until;
     TimePoint next_probe;  // gets no further task on probation before this
   };
--- a/src/libjobs/job_scheduler_test.cc
+++ b/src/libjobs/job_scheduler_test.cc
@@ -691,6 +691,34 @@
   LONGS_EQUAL(1, this->table.FindWorker("a")->runs.size());
 }
 
+// Guards against a worker that stays suspended long after it is sound again,
+// since runs that began before end late.
+TEST(JobScheduler, FailuresOfRunsFromBeforeASuspensionDoNotProlongIt) {
+  this->Deliver(this->Report("a"));
+  this->Submit("j", 5, 500, 0);
+  for (const char* job : {"j-1", "j-2", "j-3"})
+    this->Submit(job, 1, 500, 0);
+  this->Decide();
+  this->scheduler.OrdersFor(this->table, "a", this->now);
+  std::set<TaskKey> runs = this->table.FindWorker("a")->runs;
+  LONGS_EQUAL(8, runs.size());
+  for (int i = 0; i < 3; ++i) {
+    this->ApplyFailure("a", *runs.rbegin());
+    runs.erase(std::prev(runs.end()));
+  }
+  LONGS_EQUAL(1, this->scheduler.TakeSuspendedAgents().size());
+  for (const Milliseconds wait : {Milliseconds(5000), Milliseconds(3500)}) {
+    this->now += wait;
+    this->Deliver(this->Report("a"));
+    this->ApplyFailure("a", *runs.begin());
+    runs.erase(runs.begin());
+  }
+  LONGS_EQUAL(0, this->scheduler.TakeSuspendedAgents().size());
+  const std::size_t before = this->table.FindWorker("a")->runs.size();
+  this->Decide();
+  LONGS_EQUAL(before + 1, this->table.FindWorker("a")->runs.size());
+}
+
 // Guards against a worker with lasting tasks staying suspended forever: it
 // never becomes empty.
 TEST(JobScheduler, ASuspendedWorkerThatIsNotEmptyIsTriedAgain) {
