--- a/testsuite/schedule/job_schedule.cc
+++ b/testsuite/schedule/job_schedule.cc
@@ -121,8 +121,10 @@
   if (gateway == nullptr)
     return;
   const std::string text = EstateText(variant);
-  const json body{
+  json body{
       {"version", version}, {"mode", "highest"}, {"estate", json::parse(text)}};
+  if (this->load.estate_source_bytes > 0)
+    body["source"] = std::string(this->load.estate_source_bytes, 'x');
   const std::string content = json::parse(text).dump();
   gateway->Call("POST", "/estate", body.dump(), Milliseconds(2000),
                 [this, version, content](const wire::ControlReply& reply) {
--- a/testsuite/schedule/job_schedule.h
+++ b/testsuite/schedule/job_schedule.h
@@ -24,6 +24,8 @@
   Milliseconds failing_jobs{0};     ///< Several that fail on every attempt.
   Milliseconds drain_of_worker{0};  ///< Beside lasting jobs that arrive.
   Milliseconds crashing_job{0};     ///< With a task that crashes its workers.
+  /// Size of the document that each estate is submitted with.
+  std::size_t estate_source_bytes = 0;
 };
 
 /// More work than workers have room for.
--- a/testsuite/schedule/job_schedule_test.cc
+++ b/testsuite/schedule/job_schedule_test.cc
@@ -50,6 +50,12 @@
   ExpectNoViolation(6, AllJobFaults(), 20);
 }
 
+// Their entries and the snapshots are sent in parts.
+TEST(JobSchedule, LargeEstatesUnderAllFaults) {
+  ExpectNoViolation(3, AllJobFaults(), 12, {.estate_source_bytes = 600'000});
+  ExpectNoViolation(6, AllJobFaults(), 6, {.estate_source_bytes = 600'000});
+}
+
 TEST(JobSchedule, ALaterCallIsNotDecidedByAnOlderEstate) {
   ExpectNoViolation(3, LeaderFaultsOnOrderedLinks(), 40);
 }
