--- a/src/libjobs/job_placement.cc
+++ b/src/libjobs/job_placement.cc
@@ -480,7 +480,12 @@
   FreeCapacity* tester = nullptr;
   FreeCapacity* reservable = nullptr;
   for (auto& [agent, capacity] : capacities) {
-    if (!this->PlacementCost(table, key.step, capacity, this->force_placement))
+    const bool crashed_lately =
+        agent == table.Task(key).agent &&
+        this->decision_time <
+            this->agents.at(agent).up_since + this->options.min_uptime_to_test;
+    if (crashed_lately ||
+        !this->PlacementCost(table, key.step, capacity, this->force_placement))
       continue;
     // The suspects of a job are tested together.
     if (capacity.tests_in_decision)
--- a/src/libjobs/job_scheduler.cc
+++ b/src/libjobs/job_scheduler.cc
@@ -146,6 +146,7 @@
     return std::nullopt;
   if (agent_state.born_ms != worker.born_ms()) {
     agent_state.born_ms = worker.born_ms();
+    agent_state.up_since = now;
     agent_state.runs.clear();
     agent_state.orphan_stops.clear();
     agent_state.has_list = false;
--- a/src/libjobs/job_scheduler.h
+++ b/src/libjobs/job_scheduler.h
@@ -89,6 +89,10 @@
   /// after this, unless tests of suspects have crashed workers lately. When
   /// many workers crash of another cause, all suspects are sound.
   Milliseconds max_wait_for_test{1500};
+  /// A suspect is tested again on the worker that crashed under it only once
+  /// that has been up for this long. A worker that crashes anyway, time and
+  /// again, does so before.
+  Milliseconds min_uptime_to_test{1000};
   CrashIsolationOptions isolation;
   JobSchedulerMutations mutations;
 };
@@ -186,6 +190,7 @@
     bool draining = false;
     bool worker_gone = false;  // the agent reports that the worker is dead
     std::int64_t born_ms = 0;  // worker incarnation
+    TimePoint up_since;        // when this leader first heard of it
     wire::JobWorkerDescription description;  // the latest reported
     std::uint64_t proposed_end = 0;      // ends up to this number were proposed
     std::int64_t proposed_crash_ms = 0;  // `born_ms` of the latest one
--- a/src/libjobs/job_table.cc
+++ b/src/libjobs/job_table.cc
@@ -241,12 +241,8 @@
     if (!counts)
       continue;
     JobTask& task = this->MutableTask(key);
-    // A worker that crashes again may be in a crash loop of its own.
-    if (task.last_crash_agent != crash.agent()) {
-      task.crashes += 1;
-      task.sole_crashes += jobs.size() == 1 ? 1 : 0;
-      task.last_crash_agent = crash.agent();
-    }
+    task.crashes += 1;
+    task.sole_crashes += jobs.size() == 1 ? 1 : 0;
     this->suspect_tasks.insert(key);
     this->RecordEvent({.kind = JobEvent::Kind::kSuspected,
                        .job = recent.task().job(),
@@ -269,7 +265,6 @@
   JobTask& task = this->MutableTask(key);
   task.crashes = 0;
   task.sole_crashes = 0;
-  task.last_crash_agent.clear();
   this->suspect_tasks.erase(key);
   this->RecordEvent({.kind = JobEvent::Kind::kCleared,
                      .job = survivor.task().job(),
--- a/src/libjobs/job_table.h
+++ b/src/libjobs/job_table.h
@@ -42,11 +42,9 @@
   std::string agent;           ///< Agent of the current or latest run.
   std::string checkpoint;
   /// Workers that crashed just after they may have begun a run of this task.
-  /// One that does so several times in a row counts once.
   std::uint32_t crashes = 0;
   /// Those of them that had begun runs of no other job.
   std::uint32_t sole_crashes = 0;
-  std::string last_crash_agent;  ///< Agent of the last of these workers.
 };
 
 struct StepState {
--- a/src/libjobs/job_table_snapshot.cc
+++ b/src/libjobs/job_table_snapshot.cc
@@ -22,7 +22,6 @@
       stored_task->set_checkpoint(task.checkpoint);
       stored_task->set_crashes(task.crashes);
       stored_task->set_sole_crashes(task.sole_crashes);
-      stored_task->set_last_crash_agent(task.last_crash_agent);
     }
   }
 }
@@ -68,8 +67,7 @@
                           .agent = task.agent(),
                           .checkpoint = task.checkpoint(),
                           .crashes = task.crashes(),
-                          .sole_crashes = task.sole_crashes(),
-                          .last_crash_agent = task.last_crash_agent()});
+                          .sole_crashes = task.sole_crashes()});
     step.done += state == JobTaskState::kDone ? 1 : 0;
     step.waiting += state == JobTaskState::kWaiting ? 1 : 0;
   }
