--- a/src/libjobs/worker_agent.cc
+++ b/src/libjobs/worker_agent.cc
@@ -293,7 +293,8 @@
   if (this->IsOvertaken(orders, now))
     return;
   this->answered_report_ns = orders.echoed_ns();
-  if (orders.known_born_ms() != 0) {
+  if (orders.known_born_ms() != 0 &&
+      orders.known_born_ms() != this->life_to_replace) {
     this->life_to_replace = orders.known_born_ms();
     this->life_to_replace_heard = now;
   }
--- a/src/libjobs/worker_agent_test.cc
+++ b/src/libjobs/worker_agent_test.cc
@@ -267,6 +267,10 @@
   this->Collect();
   this->AdvanceTime(Milliseconds(100));
   LONGS_EQUAL(0, this->reports.back().worker().replaces_born_ms());
+  // The leader repeats it while the worker holds the call.
+  this->now += Milliseconds(10);
+  orders.set_echoed_ns(ToNanoseconds(this->now));
+  this->DeliverOrders(orders);
   this->agent.OnWatchResult(this->watches.back(), CallOutcome::kDone, {},
                             this->now);
   this->Collect();
