--- a/src/libreplication/replica.h
+++ b/src/libreplication/replica.h
@@ -247,7 +247,9 @@
   void StartTransfer(Progress& progress);
   const std::string& TransferBytes(const OutgoingTransfer& transfer);
   void DropUnusedTransferBytes();
-  void FillPart(Progress& progress, wire::TransferPart& part);
+  void FillPart(Progress& progress,
+                std::size_t max_bytes,
+                wire::TransferPart& part);
   bool SendEntryParts(Progress& progress, TimePoint now);
   void SendSnapshotParts(Progress& progress, TimePoint now);
   bool UpdateTransfer(Progress& progress,
--- a/src/libreplication/replica_test.cc
+++ b/src/libreplication/replica_test.cc
@@ -419,6 +419,32 @@
   this->RunUntilCommitted(lagging, 1);
 }
 
+// Guards against a replica that never gets a snapshot, as the heartbeats to it
+// put off that lost parts are sent again.
+TEST(Replica, LostPartsOfASnapshotAreSentAgain) {
+  this->AddAllReplicas();
+  this->RunFor(Milliseconds(3000));
+  const std::string leader = this->Leader();
+  const std::string lagging = leader == "a" ? "b" : "a";
+  this->isolated = {lagging};
+  this->replicas.at(leader)->Propose("x");
+  this->RunFor(Milliseconds(300));
+  Replica& source = *this->replicas.at(leader);
+  const std::string state(kLargeEntryBytes, 's');
+  source.Compact(source.commit_index(), state);
+  this->bytes_per_step = kSlowLinkBytesPerStep;
+  for (int loss = 0; loss < 3; ++loss) {
+    this->isolated.clear();
+    this->RunFor(Milliseconds(100));
+    this->isolated = {lagging};
+    this->RunFor(Milliseconds(200));
+  }
+  CHECK(this->replicas.at(lagging)->snapshot_state().empty());
+  this->isolated.clear();
+  this->RunFor(Milliseconds(5000));
+  CHECK(this->replicas.at(lagging)->snapshot_state() == state);
+}
+
 // Guards against a message at each turn of the loop to a peer that is away.
 TEST(Replica, APeerThatDoesNotReplyGetsOnlyHeartbeatsForALargeEntry) {
   this->AddAllReplicas();
--- a/src/libreplication/replica_transfer.cc
+++ b/src/libreplication/replica_transfer.cc
@@ -70,14 +70,16 @@
   });
 }
 
-void Replica::FillPart(Progress& progress, wire::TransferPart& part) {
+void Replica::FillPart(Progress& progress,
+                       std::size_t max_bytes,
+                       wire::TransferPart& part) {
   OutgoingTransfer& transfer = progress.transfer;
   const std::string& bytes = this->TransferBytes(transfer);
   part.set_index(transfer.index);
   part.set_term(this->TermAt(transfer.index));
   part.set_offset(transfer.sent_bytes);
   part.set_total_bytes(bytes.size());
-  part.set_data(bytes.substr(transfer.sent_bytes, kMaxPartBytes));
+  part.set_data(bytes.substr(transfer.sent_bytes, max_bytes));
   transfer.sent_bytes += part.data().size();
 }
 
@@ -91,7 +93,7 @@
     wire::ReplicaMessage message = this->NewMessage(progress.member);
     wire::AppendRequest* request =
         this->AddAppendRequest(progress, message, now);
-    this->FillPart(progress, *request->mutable_part());
+    this->FillPart(progress, kMaxPartBytes, *request->mutable_part());
     this->SendTo(progress.member, std::move(message));
     sent = true;
   }
@@ -100,18 +102,24 @@
   return sent;
 }
 
-// Sends one part at least, which may be empty, as a heartbeat.
+// Sends a message at least, with an empty part if there is no room in flight,
+// as a heartbeat.
 void Replica::SendSnapshotParts(Progress& progress, TimePoint now) {
   this->StartTransfer(progress);
+  bool has_room = this->HasMoreToSend(progress);
   do {
     wire::ReplicaMessage message = this->NewMessage(progress.member);
     wire::SnapshotRequest* request = message.mutable_snapshot_request();
     request->set_sent_ns(ToNanoseconds(now));
-    if (progress.accepts_parts)
-      this->FillPart(progress, *request->mutable_part());
+    if (progress.accepts_parts) {
+      this->FillPart(progress, has_room ? kMaxPartBytes : 0,
+                     *request->mutable_part());
+    }
     this->SendTo(progress.member, std::move(message));
-  } while (progress.accepts_parts && this->HasMoreToSend(progress));
-  progress.resend_deadline = this->ResendDeadline(progress, now);
+    if (has_room)
+      progress.resend_deadline = this->ResendDeadline(progress, now);
+    has_room = progress.accepts_parts && this->HasMoreToSend(progress);
+  } while (has_room);
 }
 
 // Returns whether the peer holds another part of the transfer than was known.
--- a/testsuite/schedule/nodes.cc
+++ b/testsuite/schedule/nodes.cc
@@ -19,6 +19,12 @@
              [&agent](const auto& loss) { return loss.agent() == agent; });
 }
 
+std::string DescribePart(const wire::TransferPart& part) {
+  return ", part of " + std::to_string(part.index()) + " at " +
+         std::to_string(part.offset()) + " of " +
+         std::to_string(part.total_bytes());
+}
+
 bool IsReply(const wire::ReplicaMessage& message) {
   return message.has_hello_reply() || message.has_vote_reply() ||
          message.has_append_reply();
@@ -189,10 +195,20 @@
     const wire::AppendRequest& request = message.append_request();
     line += " append after " + std::to_string(request.previous_index()) + ": " +
             std::to_string(request.entries_size());
+    if (request.has_part())
+      line += DescribePart(request.part());
+  } else if (message.has_snapshot_request()) {
+    line += " snapshot";
+    if (message.snapshot_request().has_part())
+      line += DescribePart(message.snapshot_request().part());
   } else if (message.has_append_reply()) {
     const wire::AppendReply& reply = message.append_reply();
     line += std::string(reply.accepted() ? " accepted" : " rejected") + " at " +
             std::to_string(reply.match_index());
+    if (reply.part_index() != 0) {
+      line += ", holds " + std::to_string(reply.held_part_bytes()) + " of " +
+              std::to_string(reply.part_index());
+    }
   } else {
     line += " message " + std::to_string(static_cast<int>(message.body_case()));
   }
