--- a/src/libreplication/replica_leader.cc
+++ b/src/libreplication/replica_leader.cc
@@ -114,13 +114,15 @@
     *request->add_entries() = entry;
     progress.next_index += 1;
   }
-  const bool has_entries = request->entries_size() > 0;
-  if (has_entries) {
+  if (request->entries_size() > 0) {
     progress.resend_deadline = this->ResendDeadline(progress, now);
     this->SendTo(progress.member, std::move(message));
+    if (in_parts)
+      this->SendEntryParts(progress, now);
+    return;
   }
-  const bool sent_parts = in_parts && this->SendEntryParts(progress, now);
-  if (!has_entries && !sent_parts)
+  // If no part is sent either, the empty message is a heartbeat.
+  if (!in_parts || !this->SendEntryParts(progress, now))
     this->SendTo(progress.member, std::move(message));
 }
 
