DutyLoop: messages are read again once before a tick

Read in the diff: under a lasting load up to four readings of 50 ms and more would put a leader's heartbeats off to the election timeout. One more reading finds what arrived during a long step.

--- a/src/libtransport/duty_loop.cc
+++ b/src/libtransport/duty_loop.cc
@@ -15,7 +15,7 @@
 constexpr Milliseconds kLoggedStepTime{100};
 // Messages are read again if handling them took longer than this.
 constexpr Milliseconds kMaxReadAge{50};
-constexpr int kMaxReadRounds = 4;
+constexpr int kMaxReadRounds = 2;
 
 // Logs a step of the loop that took so long that messages waited.
 class StepTimer {
