--- a/src/libcontrol/control_core_test.cc
+++ b/src/libcontrol/control_core_test.cc
@@ -102,6 +102,17 @@
       this->Flush(node);
     }
   }
+  // One round of replica messages and ticks, without reports.
+  void ExchangeMessages() {
+    for (Node& node : this->nodes) {
+      const auto inbox = std::move(this->inboxes[node.id]);
+      this->inboxes[node.id].clear();
+      for (const wire::ReplicaMessage& message : inbox)
+        node.core->OnReplicaMessage(message, this->now);
+      node.core->OnTick(this->now);
+      this->Flush(node);
+    }
+  }
   void Run(int steps) {
     for (int i = 0; i < steps; ++i)
       this->Step();
@@ -384,14 +395,7 @@
   this->agent_orders.clear();
   for (int i = 0; i < 20; ++i) {
     this->now += Milliseconds(10);
-    for (Node& node : this->nodes) {
-      const auto inbox = std::move(this->inboxes[node.id]);
-      this->inboxes[node.id].clear();
-      for (const wire::ReplicaMessage& message : inbox)
-        node.core->OnReplicaMessage(message, this->now);
-      node.core->OnTick(this->now);
-      this->Flush(node);
-    }
+    this->ExchangeMessages();
   }
   LONGS_EQUAL(1, this->agent_orders.size());
   CHECK(this->agent_orders[0].orders.lease_ms() > 0);
@@ -427,14 +431,7 @@
   for (int step = 0; step < 28; ++step) {
     this->now += Milliseconds(250);
     for (int round = 0; round < 3; ++round) {
-      for (Node& node : this->nodes) {
-        const auto inbox = std::move(this->inboxes[node.id]);
-        this->inboxes[node.id].clear();
-        for (const wire::ReplicaMessage& message : inbox)
-          node.core->OnReplicaMessage(message, this->now);
-        node.core->OnTick(this->now);
-        this->Flush(node);
-      }
+      this->ExchangeMessages();
     }
   }
   POINTERS_EQUAL(leader, this->Leader());
--- a/src/libreplication/replica_test.cc
+++ b/src/libreplication/replica_test.cc
@@ -103,6 +103,19 @@
   }
   std::map<std::string, std::size_t> link_budgets;
 
+  // Isolates a follower, which then needs the leader's snapshot. Returns its
+  // id.
+  std::string IsolateAndCompact(const std::string& leader,
+                                const std::string& state) {
+    const std::string lagging = leader == "a" ? "b" : "a";
+    this->isolated = {lagging};
+    Replica& source = *this->replicas.at(leader);
+    source.Propose("x");
+    this->RunFor(Milliseconds(300));
+    source.Compact(source.commit_index(), state);
+    return lagging;
+  }
+
   // Runs until the replica has committed `count` commands. Checks that the
   // leader keeps its lease meanwhile.
   void RunUntilCommitted(const std::string& id, std::size_t count) {
@@ -394,13 +407,9 @@
   this->AddAllReplicas();
   this->RunFor(Milliseconds(3000));
   const std::string leader = this->Leader();
-  const std::string lagging = leader == "a" ? "b" : "a";
-  this->isolated = {lagging};
-  this->replicas.at(leader)->Propose("x");
-  this->RunFor(Milliseconds(300));
-  Replica& source = *this->replicas.at(leader);
   const std::string state(kLargeEntryBytes, 's');
-  source.Compact(source.commit_index(), state);
+  const std::string lagging = this->IsolateAndCompact(leader, state);
+  Replica& source = *this->replicas.at(leader);
   // The lagging replica decides whether the leader has a majority.
   this->replicas.erase(leader == "c" ? "b" : "c");
   this->bytes_per_step = kSlowLinkBytesPerStep;
@@ -425,13 +434,8 @@
   this->AddAllReplicas();
   this->RunFor(Milliseconds(3000));
   const std::string leader = this->Leader();
-  const std::string lagging = leader == "a" ? "b" : "a";
-  this->isolated = {lagging};
-  this->replicas.at(leader)->Propose("x");
-  this->RunFor(Milliseconds(300));
-  Replica& source = *this->replicas.at(leader);
   const std::string state(kLargeEntryBytes, 's');
-  source.Compact(source.commit_index(), state);
+  const std::string lagging = this->IsolateAndCompact(leader, state);
   this->bytes_per_step = kSlowLinkBytesPerStep;
   for (int loss = 0; loss < 3; ++loss) {
     this->isolated.clear();
