--- a/src/libbase/parsing_turn.cc
+++ b/src/libbase/parsing_turn.cc
@@ -3,13 +3,13 @@
 #include <cstddef>
 #include <mutex>
 #include <semaphore>
+#include <string>
 
 #include "savoryring/result.h"
 
 namespace savoryring {
 namespace {
 
-constexpr std::uint64_t kMaxParsedBytes = 16U << 20U;
 // A longer text is parsed alone.
 constexpr std::size_t kSmallTextBytes = 16U << 10U;
 constexpr std::ptrdiff_t kSmallTurns = 8;
@@ -61,14 +61,19 @@
   return bytes;
 }
 
-void CheckParsedBytes(std::string_view text) {
-  if (EstimateParsedBytes(text) > kMaxParsedBytes)
-    throw Error(ResultCode::kBodyTooLarge, "the document has too many values");
+void CheckParsedBytes(std::string_view text, std::uint64_t max_bytes) {
+  const std::uint64_t bytes = EstimateParsedBytes(text);
+  if (bytes <= max_bytes)
+    return;
+  throw Error(ResultCode::kBodyTooLarge,
+              "the document has too many values: they would take " +
+                  std::to_string(bytes) + " bytes of memory, of " +
+                  std::to_string(max_bytes));
 }
 
-ParsingTurn::ParsingTurn(std::string_view text)
+ParsingTurn::ParsingTurn(std::string_view text, std::uint64_t max_bytes)
     : large(text.size() > kSmallTextBytes) {
-  CheckParsedBytes(text);
+  CheckParsedBytes(text, max_bytes);
   if (this->large)
     LargeTurn().lock();
   else
--- a/src/libbase/parsing_turn_test.cc
+++ b/src/libbase/parsing_turn_test.cc
@@ -53,6 +53,24 @@
   CHECK(CodeOf([&] { CheckParsedBytes(long_string); }) == ResultCode::kOk);
 }
 
+// Guards against a configuration that is refused once it has grown by thousands
+// of routes.
+TEST(ParsingTurn, AdmitsALargeConfiguration) {
+  const std::string route =
+      R"({"name":"r-000001","hostname":"desk.example","path_prefix":"/one/",)"
+      R"("type":"unsafe","timeout_ms":3000,"target_latency_ms":250,)"
+      R"("priority":0,"service":"gauge-check","attempts":2,)"
+      R"("slack_factor":1.5})";
+  const auto admits = [&route](std::size_t routes) {
+    const std::string text = Fill(route, routes * (route.size() + 1));
+    return CodeOf([&text] {
+             CheckParsedBytes(text, kMaxParsedConfigurationBytes);
+           }) == ResultCode::kOk;
+  };
+  CHECK(admits(10'000));
+  CHECK(!admits(40'000));
+}
+
 // A small text must not wait for a large one.
 TEST(ParsingTurn, SmallTextsPassBesideALargeOne) {
   const ParsingTurn large(Fill("0", kLegalBytes));
--- a/src/libcontrol/control_api.cc
+++ b/src/libcontrol/control_api.cc
@@ -51,7 +51,7 @@
 // --- Requests that change the state ---
 
 wire::Command ParseSubmitEstate(const std::string& body) {
-  CheckParsedBytes(body);
+  CheckParsedBytes(body, kMaxParsedConfigurationBytes);
   const json document = ParseJson(body);
   ProblemList problems;
   const ObjectView view(document, "", problems);
