Calls to the control group have a connection of their own

Cause: a control sent its calls over the connection on which it exchanges heartbeats with the same peer. A call of 2.5 MB delays them by its transfer (170 ms) and by the leader's check of it (110 ms). After 320 ms without an answer the connection was replaced, and with it went the answer to the call and the reports of progress. The sender didn't know, and waited for 10 s, the transfer time at 2 Mbit/s.

Change: Link has two channels to a peer, for messages and for calls, which are connected and replaced separately. The leader's replies, among them configurations that are read back, no longer delay heartbeats either. Agents and endpoints exchange no large messages on connections that they replace.

--- a/src/libtransport/link.cc
+++ b/src/libtransport/link.cc
@@ -60,8 +60,9 @@
 
 void Link::Send(const std::string& address,
                 wire::MessageKind kind,
-                const std::string& body) {
-  zmq::socket_t* connection = this->Connection(address);
+                const std::string& body,
+                Channel channel) {
+  zmq::socket_t* connection = this->Connection(address, channel);
   if (connection == nullptr)
     return;
   const std::string frame = this->EncodeEnvelope(kind, body);
@@ -74,7 +75,7 @@
                  wire::MessageKind kind,
                  const std::string& body) {
   if (origin.identity.empty()) {
-    this->Send(origin.address, kind, body);
+    this->Send(origin.address, kind, body, origin.channel);
     return;
   }
   const std::string frame = this->EncodeEnvelope(kind, body);
@@ -88,20 +89,22 @@
     this->CountSent(frame.size());
 }
 
-void Link::ReplaceConnection(const std::string& address) {
-  this->connections.erase(address);
+void Link::ReplaceConnection(const std::string& address, Channel channel) {
+  this->connections.erase({address, channel});
 }
 
 void Link::CloseUnless(const std::function<bool(const std::string&)>& keep) {
-  std::erase_if(this->connections,
-                [&keep](const auto& item) { return !keep(item.first); });
+  std::erase_if(this->connections, [&keep](const auto& item) {
+    const std::string& address = item.first.first;
+    return !keep(address);
+  });
 }
 
 std::vector<Received> Link::Poll(Milliseconds timeout) {
   std::vector<zmq::pollitem_t> items;
   items.push_back({nullptr, this->wake_fd, ZMQ_POLLIN, 0});
   items.push_back({this->listener.handle(), 0, ZMQ_POLLIN, 0});
-  for (auto& [address, socket] : this->connections)
+  for (auto& [key, socket] : this->connections)
     items.push_back({socket.handle(), 0, ZMQ_POLLIN, 0});
   zmq::poll(items, timeout);
   std::uint64_t wakes = 0;
@@ -111,9 +114,9 @@
   if (items[1].revents != 0)
     this->ReadListener(received);
   std::size_t next_item = 2;
-  for (auto& [address, socket] : this->connections) {
+  for (auto& [key, socket] : this->connections) {
     if (items[next_item++].revents != 0)
-      this->ReadConnection(address, socket, received);
+      this->ReadConnection(key, socket, received);
   }
   return received;
 }
@@ -125,8 +128,9 @@
 
 // Addresses may come from other processes. Returns null if this is none: ZeroMQ
 // would take a port that is out of range for another one.
-zmq::socket_t* Link::Connection(const std::string& address) {
-  const auto found = this->connections.find(address);
+zmq::socket_t* Link::Connection(const std::string& address, Channel channel) {
+  const ConnectionKey key(address, channel);
+  const auto found = this->connections.find(key);
   if (found != this->connections.end())
     return &found->second;
   if (!IsAddress(address)) {
@@ -142,7 +146,7 @@
   socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
   socket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
   socket.connect("tcp://" + address);
-  return &this->connections.emplace(address, std::move(socket)).first->second;
+  return &this->connections.emplace(key, std::move(socket)).first->second;
 }
 
 std::string Link::EncodeEnvelope(wire::MessageKind kind,
@@ -185,14 +189,16 @@
   }
 }
 
-void Link::ReadConnection(const std::string& address,
+void Link::ReadConnection(const ConnectionKey& key,
                           zmq::socket_t& socket,
                           std::vector<Received>& received) {
   for (int i = 0; i < kMaxMessagesPerRead; ++i) {
     zmq::message_t frame;
     if (!socket.recv(frame, zmq::recv_flags::dontwait))
       return;
-    this->DecodeMessage({.identity = "", .address = address}, frame, received);
+    this->DecodeMessage(
+        {.identity = "", .address = key.first, .channel = key.second}, frame,
+        received);
   }
 }
 
--- a/src/libtransport/link.h
+++ b/src/libtransport/link.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 #include <zmq.hpp>
 
@@ -15,12 +16,19 @@
 
 namespace savoryring {
 
+/// Selects one of the connections that this process opens to a peer. Calls may
+/// be large and take long to send and to handle; neither delays the messages on
+/// the other connection, and either connection can be replaced by itself.
+enum class Channel { kMessages, kCalls };
+
 /// The connection that a message arrived on; a reply is sent over the same one.
 struct Origin {
   /// ZeroMQ routing id; set if the peer opened the connection.
   std::string identity;
   /// Set if this process opened the connection.
   std::string address;
+  /// Meaningful if this process opened the connection.
+  Channel channel = Channel::kMessages;
 };
 
 struct Received {
@@ -34,8 +42,8 @@
   std::uint64_t incarnation = 0;  ///< New at each start of the process.
 };
 
-/// One listening socket and one outgoing connection for each peer. Not thread
-/// safe, except for Wake.
+/// One listening socket, and one outgoing connection for each peer and channel.
+/// Not thread safe, except for Wake.
 class Link {
  public:
   /// Throws Error (kAddressInUse).
@@ -49,13 +57,15 @@
   /// unacknowledged messages.
   void Send(const std::string& address,
             wire::MessageKind kind,
-            const std::string& body);
+            const std::string& body,
+            Channel channel = Channel::kMessages);
   /// Replies over the connection that a message from `origin` arrived on.
   void Reply(const Origin& origin,
              wire::MessageKind kind,
              const std::string& body);
   /// Closes the connection to `address`; the next Send opens a new one.
-  void ReplaceConnection(const std::string& address);
+  void ReplaceConnection(const std::string& address,
+                         Channel channel = Channel::kMessages);
   /// Closes the connections to addresses for which `keep` returns false.
   void CloseUnless(const std::function<bool(const std::string&)>& keep);
 
@@ -79,12 +89,14 @@
   const Counters& counters() const { return this->counts; }
 
  private:
-  zmq::socket_t* Connection(const std::string& address);
+  using ConnectionKey = std::pair<std::string, Channel>;  // address, channel
+
+  zmq::socket_t* Connection(const std::string& address, Channel channel);
   std::string EncodeEnvelope(wire::MessageKind kind,
                              const std::string& body) const;
   void CountSent(std::size_t bytes);
   void ReadListener(std::vector<Received>& received);
-  void ReadConnection(const std::string& address,
+  void ReadConnection(const ConnectionKey& key,
                       zmq::socket_t& socket,
                       std::vector<Received>& received);
   void DecodeMessage(Origin origin,
@@ -96,7 +108,7 @@
   Counters counts;
   zmq::context_t context;
   zmq::socket_t listener;
-  std::map<std::string, zmq::socket_t> connections;
+  std::map<ConnectionKey, zmq::socket_t> connections;
   int wake_fd = -1;
 };
 
--- a/src/savoryringd/control_caller.cc
+++ b/src/savoryringd/control_caller.cc
@@ -85,10 +85,10 @@
   for (const ControlClientEffect& effect : this->client.TakeEffects()) {
     if (const auto* send = std::get_if<SendCall>(&effect)) {
       this->link->Send(send->link, wire::CONTROL_CALL,
-                       send->call.SerializeAsString());
+                       send->call.SerializeAsString(), Channel::kCalls);
     } else if (const auto* replace =
                    std::get_if<ReplaceControlConnection>(&effect)) {
-      this->link->ReplaceConnection(replace->link);
+      this->link->ReplaceConnection(replace->link, Channel::kCalls);
     } else {
       this->Deliver(std::get<DeliverReply>(effect).reply);
     }
--- a/src/savoryringd/control_duty.cc
+++ b/src/savoryringd/control_duty.cc
@@ -186,8 +186,9 @@
 
 void ControlDuty::OnMessage(const Received& message, TimePoint now) {
   const wire::Envelope& envelope = message.envelope;
-  if (!message.origin.address.empty())
-    this->liveness.OnAnswer(message.origin.address);
+  const Origin& origin = message.origin;
+  if (!origin.address.empty() && origin.channel == Channel::kMessages)
+    this->liveness.OnAnswer(origin.address);
   switch (envelope.kind()) {
     case wire::REPLICA_MESSAGE:
       this->RecordRevision("control", envelope, now);
