A replica that is only named as the leader gets the oldest call alone

Cause: a redirect or an announcement counted as a known leader, so that all held calls were sent to the replica named.

Change: only an answer makes a leader known. A redirect sends the oldest call to the replica named; a replica that is no longer asked tells nothing about the leader.

The check: it took a revision as seen from when the deciding call was sent, also for changes. Nobody sees an effect of it before, so that for changes the check counts from the replica's reply. For queries it is unchanged.

Ruled out: the leader; decisions by a leader without a lease.

--- a/src/libtransport/control_client.cc
+++ b/src/libtransport/control_client.cc
@@ -134,12 +134,16 @@
                                 const wire::ControlReply& reply,
                                 TimePoint now) {
   this->Hold(open, now);
+  // While one replica is asked, others don't tell who leads: the call was sent
+  // to them before.
+  if (!this->leader_known && link != this->leader_link())
+    return;
   const std::string& hint = reply.leader_link();
   const bool hint_names_other = !hint.empty() && hint != link;
   if (hint_names_other && this->redirects < kMaxRedirects) {
     this->redirects += 1;
     open.history.set_redirects(open.history.redirects() + 1);
-    return this->OnLeaderFound(hint, now);
+    return this->OnRedirect(hint, now);
   }
   open.history.set_no_leader(open.history.no_leader() + 1);
   if (this->leader_link() != link)
@@ -166,6 +170,20 @@
   }
 }
 
+// The replica named may not serve yet, and may begin to between two calls that
+// reach it. So only the oldest call is sent until it is answered: a later one
+// must not be decided before it.
+void ControlClient::OnRedirect(const std::string& link, TimePoint now) {
+  if (this->leader_known && link == this->leader_link())
+    return;
+  if (link != this->leader_link()) {
+    this->finder.OnHint(link);
+    this->probe_answer_deadline = kNever;
+  }
+  this->leader_known = false;
+  this->AskOldest(now);
+}
+
 void ControlClient::OnLeaderLost(TimePoint retry_time) {
   this->leader_known = false;
   this->probe_time = retry_time;
@@ -237,7 +255,7 @@
 // Believed only while no leader is known: it may be that of an earlier term.
 void ControlClient::OnLeaderAnnounced(const std::string& link, TimePoint now) {
   if (!this->leader_known)
-    this->OnLeaderFound(link, now);
+    this->OnRedirect(link, now);
 }
 
 void ControlClient::AddLinks(const std::vector<std::string>& links) {
@@ -248,18 +266,25 @@
 }
 
 void ControlClient::ProbeReplica(TimePoint now) {
-  if (this->leader_known || this->calls.empty() || now < this->probe_time)
+  if (this->leader_known || now < this->probe_time)
     return;
+  if (this->AskOldest(now))
+    this->redirects = 0;
+}
+
+bool ControlClient::AskOldest(TimePoint now) {
+  if (this->calls.empty())
+    return false;
   OpenCall& oldest = this->calls.begin()->second;
   if (oldest.asked_link == this->leader_link())
-    return;
+    return false;
   // An unanswered call at another replica may be accepted there.
   if (!oldest.asked_link.empty())
     oldest.may_be_committed = true;
-  this->redirects = 0;
   this->Send(oldest, now);
   if (this->probe_answer_deadline == kNever)
     this->probe_answer_deadline = oldest.answer_deadline;
+  return true;
 }
 
 void ControlClient::Send(OpenCall& open, TimePoint now) {
--- a/src/libtransport/control_client.h
+++ b/src/libtransport/control_client.h
@@ -87,11 +87,14 @@
                    const wire::ControlReply& reply,
                    TimePoint now);
   void OnLeaderFound(const std::string& link, TimePoint now);
+  void OnRedirect(const std::string& link, TimePoint now);
   void OnLeaderLost(TimePoint retry_time);
   void LeaveSilentReplicas(TimePoint now);
   void LeaveSilentReplica(const std::string& link, TimePoint now);
   void FailExpiredCalls(TimePoint now);
   void ProbeReplica(TimePoint now);
+  /// Returns whether the oldest call was sent to the finder's replica.
+  bool AskOldest(TimePoint now);
   void Send(OpenCall& open, TimePoint now);
   TimePoint AnswerDeadline(const OpenCall& open, TimePoint now);
   void OnProgress(OpenCall& open, const std::string& link, TimePoint now);
--- a/testsuite/schedule/node.cc
+++ b/testsuite/schedule/node.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "libjobs/jobs.pb.h"
 #include "testsuite/schedule/nodes.h"
 
 namespace savoryring {
@@ -9,6 +10,12 @@
 
 constexpr Milliseconds kTick{10};
 
+bool ChangesNothing(const std::string& method, const std::string& body) {
+  wire::JobCall call;
+  return method == "GET" || (method == "JOB" && call.ParseFromString(body) &&
+                             !call.has_submit() && !call.cancel());
+}
+
 }  // namespace
 
 Node::Node(TestEstate& test_estate, std::string name, DriftingClock clock)
@@ -131,15 +138,21 @@
   call.set_method(method);
   call.set_path(path);
   call.set_body(body);
-  this->pending_calls[call.call_id()] = {.sent = this->simulation().now(),
-                                         .on_reply = std::move(on_reply)};
+  this->pending_calls[call.call_id()] = {
+      .sent = this->simulation().now(),
+      .changes_nothing = ChangesNothing(method, body),
+      .on_reply = std::move(on_reply)};
   const TimePoint now = this->LocalNow();
   this->client->OnCall(call, now + timeout, now);
   this->RunClientEffects();
 }
 
 void ControlClientNode::OnControlReply(const std::string& from,
-                                       const wire::ControlReply& reply) {
+                                       const wire::ControlReply& reply,
+                                       TimePoint replied) {
+  const auto pending = this->pending_calls.find(reply.call_id());
+  if (pending != this->pending_calls.end())
+    pending->second.replied = replied;
   this->client->OnReply(from, reply, this->LocalNow());
   this->RunClientEffects();
 }
@@ -152,8 +165,9 @@
         to->OnCall(call,
                    [this, to, id = call.call_id()](wire::ControlReply reply) {
                      reply.set_call_id(id);
-                     to->Reply(*this, [this, from = to->name(), reply] {
-                       this->OnControlReply(from, reply);
+                     to->Reply(*this, [this, from = to->name(), reply,
+                                       replied = this->simulation().now()] {
+                       this->OnControlReply(from, reply, replied);
                      });
                    });
       });
@@ -174,17 +188,21 @@
   }
 }
 
-// If the network loses or reorders messages, a call can be decided long after
-// it was sent. The caller then relies on the revision from the answer on.
+// A change that waits for its commit may be decided again by the next leader;
+// nobody sees an effect before that has replied. If the network loses or
+// reorders messages, a query too can be decided long after it was sent. The
+// caller then relies on the revision from the answer on.
 void ControlClientNode::RecordDecision(const PendingCall& pending,
                                        const wire::ControlReply& reply) {
   if (reply.estate_revision() == 0)
     return;
-  const TimePoint now = this->simulation().now();
+  const TimePoint ordered_shown =
+      pending.changes_nothing ? pending.sent : pending.replied;
   this->ledger().OnDecided(
       {.process = this->name() + "/" + std::to_string(this->start_count),
        .sent = pending.sent,
-       .shown = this->simulation().faults.in_order ? pending.sent : now,
+       .shown = this->simulation().faults.in_order ? ordered_shown
+                                                   : this->simulation().now(),
        .revision = reply.estate_revision()});
 }
 
--- a/testsuite/schedule/node.h
+++ b/testsuite/schedule/node.h
@@ -74,7 +74,10 @@
             const std::string& body,
             Milliseconds timeout,
             std::function<void(wire::ControlReply)> on_reply);
-  void OnControlReply(const std::string& from, const wire::ControlReply& reply);
+  /// `replied` is when the replica sent the reply.
+  void OnControlReply(const std::string& from,
+                      const wire::ControlReply& reply,
+                      TimePoint replied);
 
  protected:
   void StartClient(ControlClientOptions options);
@@ -86,6 +89,8 @@
 
   struct PendingCall {
     TimePoint sent;
+    TimePoint replied;  // the reply that arrived last
+    bool changes_nothing = false;
     std::function<void(wire::ControlReply)> on_reply;
   };
   void RecordDecision(const PendingCall& pending,
