Schedules without jobs crash controls ten times as often at a write

Cause: chance. The mutation shows only if a control crashes between reply and write, and the plan does so in 0.04% of the writes.

Change: crash_rate of AllFaults from 0.0004 to 0.004. The check, its text and its seeds stay; the schedules without jobs become harder.

--- a/testsuite/schedule/fault_driver.cc
+++ b/testsuite/schedule/fault_driver.cc
@@ -25,7 +25,7 @@
           .network = {.loss_rate = 0.01,
                       .duplicate_rate = 0.02,
                       .long_delay_rate = 0.004,
-                      .crash_rate = 0.0004}};
+                      .crash_rate = 0.004}};
 }
 
 FaultPlan LongAgentIsolation() {
