--- a/src/libbase/json_checker.cc
+++ b/src/libbase/json_checker.cc
@@ -1,9 +1,12 @@
 #include "libbase/json_checker.h"
 
 #include <algorithm>
+#include <iterator>
 #include <string>
 #include <utility>
 
+#include "libbase/paced_work.h"
+
 namespace savoryring {
 namespace {
 
@@ -12,6 +15,8 @@
 // More than any valid document needs. A deeply nested text would take many
 // times its size in memory, and most functions on a parsed one are recursive.
 constexpr int kMaxJsonDepth = 100;
+constexpr std::size_t kPieceBytes = 4U << 10U;
+constexpr std::uint64_t kPartsPerPiece = 128;
 
 // As far as the text is valid, brackets outside of strings are those that a
 // parser sees.
@@ -19,6 +24,8 @@
   int depth = 0;
   bool in_string = false;
   for (std::size_t i = 0; i < text.size(); ++i) {
+    if (i % kPieceBytes == 0)
+      CountParts(kPartsPerPiece);
     const char c = text[i];
     if (in_string && c == '\\')
       ++i;
@@ -39,6 +46,60 @@
   return empty;
 }
 
+// Counts parts as a parser goes on through a text.
+class CountingIterator {
+ public:
+  using iterator_category = std::input_iterator_tag;
+  using value_type = char;
+  using difference_type = std::ptrdiff_t;
+  using pointer = const char*;
+  using reference = const char&;
+
+  CountingIterator(const char* current, const char* begin)
+      : current(current), begin(begin) {}
+
+  reference operator*() const { return *this->current; }
+  CountingIterator& operator++() {
+    ++this->current;
+    if ((this->current - this->begin) % kPieceBytes == 0)
+      CountParts(kPartsPerPiece);
+    return *this;
+  }
+  bool operator==(const CountingIterator& other) const {
+    return this->current == other.current;
+  }
+
+ private:
+  static constexpr std::ptrdiff_t kPieceBytes = 256;
+  static constexpr std::uint64_t kPartsPerPiece = 16;
+
+  const char* current;
+  const char* begin;
+};
+
+json ParseInParts(std::string_view text) {
+  const char* begin = text.data();
+  return json::parse(CountingIterator(begin, begin),
+                     CountingIterator(begin + text.size(), begin));
+}
+
+// Whether a character of UTF-8 begins here.
+bool BeginsCharacter(char byte) {
+  constexpr unsigned kContinuationMask = 0xC0;
+  constexpr unsigned kContinuation = 0x80;
+  return (static_cast<unsigned char>(byte) & kContinuationMask) !=
+         kContinuation;
+}
+
+std::string DumpArrayInParts(const json& array) {
+  std::string text = "[";
+  for (const json& item : array) {
+    CountParts(1 + item.size());
+    text += (text.size() > 1 ? "," : "") + item.dump();
+  }
+  return text + "]";
+}
+
 }  // namespace
 
 json ParseJson(std::string_view text) {
@@ -48,12 +109,54 @@
         "nested more than " + std::to_string(kMaxJsonDepth) + " levels deep");
   }
   try {
-    return json::parse(text);
+    return ParseInParts(text);
   } catch (const json::exception& failure) {
     throw Error(ResultCode::kMalformedJson, failure.what());
   }
 }
 
+std::string DumpInParts(const json& document) {
+  if (document.is_array())
+    return DumpArrayInParts(document);
+  if (!document.is_object())
+    return document.dump();
+  std::string text = "{";
+  for (const auto& item : document.items()) {
+    CountParts();
+    text += (text.size() > 1 ? "," : "") + json(item.key()).dump() + ":";
+    text += item.value().is_array() ? DumpArrayInParts(item.value())
+                                    : item.value().dump();
+  }
+  return text + "}";
+}
+
+std::string QuoteInParts(std::string_view text) {
+  std::string quoted = "\"";
+  while (!text.empty()) {
+    std::size_t size = std::min(text.size(), kPieceBytes);
+    while (size < text.size() && !BeginsCharacter(text[size]))
+      ++size;
+    CountParts(kPartsPerPiece);
+    const std::string piece = json(text.substr(0, size)).dump();
+    quoted.append(piece, 1, piece.size() - 2);
+    text.remove_prefix(size);
+  }
+  return quoted + "\"";
+}
+
+void ReleaseInParts(json& document) {
+  if (document.is_structured()) {
+    for (json& item : document) {
+      CountParts();
+      if (item.is_array())
+        ReleaseInParts(item);
+      else
+        item = nullptr;
+    }
+  }
+  document = nullptr;
+}
+
 void ProblemList::Add(ResultCode code,
                       const std::string& pointer,
                       std::string detail) {
@@ -81,6 +184,7 @@
 void ObjectView::AllowKeys(
     std::initializer_list<std::string_view> known) const {
   for (const auto& item : this->value->items()) {
+    CountParts();
     if (std::ranges::find(known, item.key()) == known.end())
       this->Report(ResultCode::kUnknownKey, item.key(), "unknown key");
   }
@@ -203,10 +307,11 @@
     return {};
   }
   std::vector<ObjectView> views;
+  const std::string prefix = this->PointerTo(key) + "/";
   for (const json& item : *found) {
-    views.emplace_back(
-        item, this->PointerTo(key) + "/" + std::to_string(views.size()),
-        *this->problems);
+    CountParts();
+    views.emplace_back(item, prefix + std::to_string(views.size()),
+                       *this->problems);
   }
   return views;
 }
@@ -230,6 +335,7 @@
 }
 
 const json* ObjectView::Find(std::string_view key) const {
+  CountParts();
   const auto found = this->value->find(key);
   return found == this->value->end() ? nullptr : &*found;
 }
--- a/src/libbase/json_checker.h
+++ b/src/libbase/json_checker.h
@@ -19,6 +19,14 @@
 /// the syntax error, or if the text is nested more than 100 levels deep.
 nlohmann::json ParseJson(std::string_view text);
 
+/// As document.dump(). Counts the elements of the document, and of the arrays
+/// in it, as parts (see paced_work.h).
+std::string DumpInParts(const nlohmann::json& document);
+/// The text as a JSON string in quotes. Counts parts as it goes on.
+std::string QuoteInParts(std::string_view text);
+/// Frees the memory of the document. Counts parts as DumpInParts.
+void ReleaseInParts(nlohmann::json& document);
+
 /// Validation problems of one document; its ObjectViews append to it.
 class ProblemList {
  public:
--- a/src/libbase/parsing_turn.cc
+++ b/src/libbase/parsing_turn.cc
@@ -5,6 +5,7 @@
 #include <semaphore>
 #include <string>
 
+#include "libbase/paced_work.h"
 #include "savoryring/result.h"
 
 namespace savoryring {
@@ -13,6 +14,8 @@
 // A longer text is parsed alone.
 constexpr std::size_t kSmallTextBytes = 16U << 10U;
 constexpr std::ptrdiff_t kSmallTurns = 8;
+constexpr std::size_t kPieceBytes = 4U << 10U;
+constexpr std::uint64_t kPartsPerPiece = 128;
 
 // Bytes for each part of a document in nlohmann::json on x86-64, with the
 // allocator's overhead. A value takes 16 bytes in an array that has doubled.
@@ -38,6 +41,8 @@
   std::uint64_t bytes = kValueBytes;
   bool in_string = false;
   for (std::size_t i = 0; i < text.size(); ++i) {
+    if (i % kPieceBytes == 0)
+      CountParts(kPartsPerPiece);
     const char c = text[i];
     if (in_string) {
       bytes += 1;
--- a/src/libcontrol/control_api.cc
+++ b/src/libcontrol/control_api.cc
@@ -71,7 +71,7 @@
     throw Error(ResultCode::kOutOfRange, "mode must be next or highest");
   submit->set_highest_wins(mode == "highest");
   submit->set_source(view.String("source", false));
-  submit->set_text(document["estate"].dump());
+  submit->set_text(DumpInParts(document["estate"]));
   return command;
 }
 
@@ -358,12 +358,18 @@
   return tasks;
 }
 
-json EstateToJson(const EstateState& estate) {
-  return {{"version", estate.revision()},
-          {"estate", json::parse(estate.text())}};
+}  // namespace
+
+bool SubmitsEstate(const wire::ControlCall& call) {
+  return call.method() == "ESTATE" ||
+         (call.method() == "POST" &&
+          SplitPath(call.path()) == std::vector<std::string>{"estate"});
 }
 
-}  // namespace
+bool QueriesEstate(const wire::ControlCall& call) {
+  return call.method() == "GET" &&
+         SplitPath(call.path()) == std::vector<std::string>{"estate"};
+}
 
 std::optional<wire::Command> ParseCommand(const wire::ControlCall& call,
                                           const ControlView& view) {
@@ -373,12 +379,8 @@
     return std::nullopt;
   if (method == "CLAIM" || method == "SETTLE")
     return ParseClaim(call);
-  if (method == "ESTATE")
-    return ParseEstateCall(call.body());
   const std::string first = path.empty() ? "" : path[0];
   wire::Command command;
-  if (method == "POST" && first == "estate" && path.size() == 1)
-    return ParseSubmitEstate(call.body());
   if (method == "POST" && first == "tasks" && path.size() == 1)
     return ParseSubmitTask(call.body(), view.state.estate().estate());
   if (method == "DELETE" && first == "tasks" && path.size() == 2) {
@@ -408,12 +410,21 @@
   throw Error(ResultCode::kWrongMethod, method + " " + call.path());
 }
 
+wire::Command ParseEstateSubmission(const wire::ControlCall& call) {
+  return call.method() == "ESTATE" ? ParseEstateCall(call.body())
+                                   : ParseSubmitEstate(call.body());
+}
+
+wire::ControlReply FormatEstateReply(std::uint64_t revision,
+                                     const PreparedEstate& estate) {
+  return JsonReply(200,
+                   {{"version", revision}, {"estate", ParseJson(estate.text)}});
+}
+
 wire::ControlReply AnswerQuery(const wire::ControlCall& call,
                                const ControlView& view) {
   const std::vector<std::string> path = SplitPath(call.path());
   const std::string first = path.empty() ? "" : path[0];
-  if (first == "estate" && path.size() == 1)
-    return JsonReply(200, EstateToJson(view.state.estate()));
   if (first == "estate" && path.size() == 2 && path[1] == "source")
     return EstateSourceReply(view.state.estate());
   if (first == "estate" && path.size() == 2 && path[1] == "in-force")
--- a/src/libcontrol/control_api.h
+++ b/src/libcontrol/control_api.h
@@ -36,14 +36,27 @@
   TimePoint now;
 };
 
+/// Whether the call submits an estate.
+bool SubmitsEstate(const wire::ControlCall& call);
+/// Whether the call asks for the estate in force.
+bool QueriesEstate(const wire::ControlCall& call);
+
 /// Returns the command for a request that changes the state, or nothing for a
-/// read-only request. Throws Error if the request is malformed. The text of a
-/// submitted estate is not validated.
+/// read-only request. Throws Error if the request is malformed. Requests that
+/// submit an estate are for ParseEstateSubmission.
 std::optional<wire::Command> ParseCommand(const wire::ControlCall& call,
                                           const ControlView& view);
 
-/// Answers a read-only request. Throws Error (kNotFound, kUnknownTask,
-/// kWrongMethod).
+/// Returns the command for a call that submits an estate, without validating
+/// the estate's text. Throws Error if the call is malformed.
+wire::Command ParseEstateSubmission(const wire::ControlCall& call);
+
+/// The reply to a request for the estate in force.
+wire::ControlReply FormatEstateReply(std::uint64_t revision,
+                                     const PreparedEstate& estate);
+
+/// Answers a read-only request, but not one for the estate in force. Throws
+/// Error (kNotFound, kUnknownTask, kWrongMethod).
 wire::ControlReply AnswerQuery(const wire::ControlCall& call,
                                const ControlView& view);
 
--- a/src/libcontrol/control_core.cc
+++ b/src/libcontrol/control_core.cc
@@ -2,11 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
-#include <string_view>
 #include <utility>
 
-#include "libbase/checksum.h"
-
 namespace savoryring {
 namespace {
 
@@ -23,12 +20,6 @@
 // rejects such a call (2 s), less than the 5 s after which nothing may start in
 // an evacuated zone.
 constexpr Milliseconds kStartValidity{2000};
-constexpr std::string_view kEstatePath = "/estate";
-
-bool SubmitsEstate(const wire::ControlCall& call) {
-  return (call.method() == "POST" || call.method() == "ESTATE") &&
-         call.path() == kEstatePath;
-}
 
 }  // namespace
 
@@ -75,7 +66,7 @@
   this->AddOrders(id, heartbeat.sent_boottime_ns(), grant_lease);
 }
 
-void ControlCore::OnCall(const wire::ControlCall& call,
+void ControlCore::OnCall(wire::ControlCall call,
                          std::uint64_t call_token,
                          TimePoint now) {
   this->UpdateLeadership();
@@ -97,52 +88,27 @@
       this->OnJobCall(call, call_token, now);
       return;
     }
-    if (SubmitsEstate(call) && this->JoinProposedEstate(call, call_token, now))
+    if (SubmitsEstate(call)) {
+      this->OnEstateCall(std::move(call), call_token, now);
       return;
+    }
+    if (QueriesEstate(call)) {
+      this->OnEstateQuery(call, call_token, now);
+      return;
+    }
     const ControlView view = this->MakeView(now);
     auto command = ParseCommand(call, view);
     if (!command) {
       this->ReplyAsLeader(call_token, AnswerQuery(call, view));
       return;
     }
-    if (command->has_submit_estate()) {
-      this->control_state.PrepareEstate(command->submit_estate().text());
-      if (this->AnswerKnownEstate(command->submit_estate(), call, call_token))
-        return;
-    }
     this->ProposeCall(*command, call, call_token, now);
   } catch (const Error& failure) {
-    if (call.path() == kEstatePath)
-      this->ReportEvent(Event::kEstateRejected, failure.what());
     this->ReplyAsLeader(call_token,
                         MakeErrorReply(failure.code(), failure.what()));
   }
 }
 
-// A submission is sent again while the first one is being stored, and may be
-// large: it waits for the same log entry.
-bool ControlCore::JoinProposedEstate(const wire::ControlCall& call,
-                                     std::uint64_t call_token,
-                                     TimePoint now) {
-  const auto found = this->proposed_estates.find(Checksum(call.body()));
-  if (found == this->proposed_estates.end())
-    return false;
-  this->AddPendingCall(found->second, call, call_token, now);
-  return true;
-}
-
-// Applying such a submission would change nothing, now and at any later index.
-bool ControlCore::AnswerKnownEstate(const wire::SubmitEstate& submission,
-                                    const wire::ControlCall& call,
-                                    std::uint64_t call_token) {
-  const bool is_known =
-      submission.highest_wins() &&
-      submission.version() <= this->control_state.estate().revision();
-  if (is_known)
-    this->ReplyAsLeader(call_token, AnswerApplied(call, ApplyResult()));
-  return is_known;
-}
-
 void ControlCore::ReplyAsLeader(std::uint64_t call_token,
                                 wire::ControlReply reply) {
   reply.set_estate_revision(this->control_state.estate().revision());
@@ -254,15 +220,14 @@
                                        command.job_command().submit(),
                                        this->GroupTime(now), now);
   }
-  if (command.has_submit_estate())
-    this->proposed_estates[Checksum(call.body())] = *index;
-  this->AddPendingCall(*index, call, call_token, now);
+  this->pending_calls.emplace(*index,
+                              this->MakePendingCall(call, call_token, now));
 }
 
-void ControlCore::AddPendingCall(std::uint64_t index,
-                                 const wire::ControlCall& call,
-                                 std::uint64_t call_token,
-                                 TimePoint now) {
+ControlCore::PendingCall ControlCore::MakePendingCall(
+    const wire::ControlCall& call,
+    std::uint64_t call_token,
+    TimePoint now) const {
   PendingCall pending{
       .term = this->log_replica.term(),
       .call_token = call_token,
@@ -271,21 +236,28 @@
           call.accepts_progress() ? now + kProgressInterval : kNever};
   pending.call.set_method(call.method());
   pending.call.set_path(call.path());
-  this->pending_calls.emplace(index, std::move(pending));
+  return pending;
 }
 
 // The senders would otherwise ask other replicas after a while.
 void ControlCore::ReportProgress(TimePoint now) {
-  for (auto& [index, pending] : this->pending_calls) {
-    if (now < pending.next_progress)
-      continue;
-    pending.next_progress = now + kProgressInterval;
-    ReplyToCall progress{.call_token = pending.call_token};
-    progress.reply.set_in_progress(true);
-    this->effects.emplace_back(std::move(progress));
+  for (auto& [index, pending] : this->pending_calls)
+    this->ReportProgressOf(pending, now);
+  for (auto& [task, open] : this->document_calls) {
+    for (PendingCall& pending : open.calls)
+      this->ReportProgressOf(pending, now);
   }
 }
 
+void ControlCore::ReportProgressOf(PendingCall& pending, TimePoint now) {
+  if (now < pending.next_progress)
+    return;
+  pending.next_progress = now + kProgressInterval;
+  ReplyToCall progress{.call_token = pending.call_token};
+  progress.reply.set_in_progress(true);
+  this->effects.emplace_back(std::move(progress));
+}
+
 void ControlCore::OnAgentReport(const wire::AgentReport& report,
                                 TimePoint now) {
   const std::string& agent = report.worker().agent();
@@ -456,6 +428,7 @@
   this->UpdateLeadership();
   this->HandleHeldReports(now);
   this->ExtendLeasesIfBusy(now);
+  this->ProposeCheckedEstates(now);
   if (this->Serves(now))
     this->ReportProgress(now);
   if (this->Serves(now))
@@ -493,6 +466,7 @@
     }
     this->pending_calls.clear();
     this->proposed_estates.clear();
+    this->RejectDocumentCalls();
   }
   if (is_leader && this->scheduler_term != term) {
     this->scheduler_term = term;
@@ -529,12 +503,34 @@
   if (output.NeedsStore())
     this->log_replica.OnStored(now);
   if (output.restore)
-    this->Restore(*output.snapshot);
-  for (const wire::LogEntry& entry : output.committed)
-    this->ApplyCommitted(entry);
+    this->StartRestoration(*output.snapshot);
+  for (const wire::LogEntry& entry : output.append)
+    this->PrepareEntry(entry);
+  this->unapplied.insert(this->unapplied.end(), output.committed.begin(),
+                         output.committed.end());
   this->settled = !output.NeedsStore() && output.committed.empty();
-  if (output.committed.empty())
-    return;
+  if (this->ApplyDelivered())
+    this->OnApplied(now);
+}
+
+// Applies what was delivered, up to an estate that is not prepared yet. Returns
+// whether any entry was applied.
+bool ControlCore::ApplyDelivered() {
+  const std::uint64_t before = this->last_applied;
+  while (!this->restoration && !this->unapplied.empty()) {
+    const wire::LogEntry& entry = this->unapplied.front();
+    this->PrepareEntry(entry);
+    if (!this->IsPrepared(entry))
+      break;
+    this->ApplyCommitted(entry);
+    this->unapplied.pop_front();
+  }
+  this->log_replica.SetDeliveryPaused(this->restoration ||
+                                      !this->unapplied.empty());
+  return this->last_applied != before;
+}
+
+void ControlCore::OnApplied(TimePoint now) {
   // Job events are processed before a job scheduler may be created, so that
   // events of entries from earlier leaders are discarded.
   this->ProcessJobEvents(now);
@@ -576,7 +572,9 @@
         voters);
   }
   ApplyResult result;
-  if (!entry.command().empty())
+  if (SubmitsEstate(entry))
+    this->ApplyEstate(entry, result);
+  else if (!entry.command().empty())
     this->ApplyCommand(entry, result);
   const auto [first, last] = this->pending_calls.equal_range(entry.index());
   if (first == last)
@@ -608,13 +606,8 @@
   wire::Command command;
   if (!command.ParseFromString(entry.command()))
     throw Error(ResultCode::kDamagedLog, "a committed command");
-  const std::uint64_t before = this->control_state.estate().revision();
   const std::set<std::string> zones = this->control_state.evacuated_zones();
   result = this->control_state.Apply(command, entry.index());
-  const std::uint64_t after = this->control_state.estate().revision();
-  if (after != before)
-    this->ReportEvent(Event::kEstateApplied,
-                      "revision " + std::to_string(after));
   for (const std::string& id : this->control_state.TakeRepeatedlyLostTasks()) {
     this->ReportEvent(
         Event::kTaskLostRepeatedly,
@@ -701,15 +694,6 @@
     this->ReportEvent(Event::kWorkerQuarantined, id);
 }
 
-void ControlCore::Restore(const wire::Snapshot& snapshot) {
-  wire::ControlSnapshot saved;
-  if (!saved.ParseFromString(snapshot.state()))
-    throw Error(ResultCode::kDamagedLog, "a received snapshot");
-  this->control_state.Restore(saved);
-  this->last_applied = snapshot.index();
-  this->applied_log_bytes = 0;
-}
-
 void ControlCore::Propose(const std::vector<wire::Command>& commands) {
   for (const wire::Command& command : commands)
     this->log_replica.Propose(command.SerializeAsString());
@@ -762,7 +746,8 @@
 
 bool ControlCore::Serves(TimePoint now) const {
   return this->scheduler && this->job_scheduler &&
-         this->log_replica.IsCaughtUp() &&
+         this->log_replica.IsCaughtUp() && this->unapplied.empty() &&
+         !this->restoration &&
          this->scheduler_term == this->log_replica.term() &&
          this->log_replica.HasLease(now);
 }
--- a/src/libcontrol/control_core.h
+++ b/src/libcontrol/control_core.h
@@ -5,7 +5,9 @@
 #define SAVORYRING_LIBCONTROL_CONTROL_CORE_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -14,6 +16,7 @@
 
 #include "libbase/events.h"
 #include "libcontrol/control_api.h"
+#include "libcontrol/document_tasks.h"
 #include "libjobs/job_calls.h"
 #include "libjobs/job_scheduler.h"
 #include "libmembership/membership.pb.h"
@@ -61,8 +64,18 @@
   std::string detail;         ///< Empty if there are fields.
   std::vector<Field> fields;  ///< Names are string literals.
 };
-using ControlEffect =
-    std::variant<SendOrders, SendAgentOrders, ReplyToCall, OperatorEvent>;
+/// Drops the reference, on another thread, as freeing a document takes time.
+struct ReleaseDocument {
+  std::shared_ptr<const void> document;
+};
+/// A DocumentTask is to be run on another thread, one after the other, and its
+/// result passed to OnDocumentResult.
+using ControlEffect = std::variant<SendOrders,
+                                   SendAgentOrders,
+                                   ReplyToCall,
+                                   OperatorEvent,
+                                   DocumentTask,
+                                   ReleaseDocument>;
 
 /// The owner passes inputs and then repeats these steps until IsSettled:
 /// TakeOutput; store and sync the output if it NeedsStore; OnStored, which
@@ -78,9 +91,10 @@
                    std::uint64_t incarnation,
                    TimePoint now);
   /// `call_token` identifies the call in the ReplyToCall effect.
-  void OnCall(const wire::ControlCall& call,
-              std::uint64_t call_token,
-              TimePoint now);
+  void OnCall(wire::ControlCall call, std::uint64_t call_token, TimePoint now);
+  /// Goes on with what waited for the task. Throws Error if committed data
+  /// can't be read.
+  void OnDocumentResult(DocumentResult result, TimePoint now);
   void OnAgentReport(const wire::AgentReport& report, TimePoint now);
   /// Records the estate revision that a live process has applied.
   void OnProcessRevision(const std::string& name,
@@ -109,7 +123,9 @@
   /// leases.
   bool Serves(TimePoint now) const;
   bool IsReady(TimePoint now) const;
-  bool HasOpenCalls() const { return !this->pending_calls.empty(); }
+  bool HasOpenCalls() const {
+    return !this->pending_calls.empty() || !this->document_calls.empty();
+  }
   std::string LeaderLink() const;
   const ControlState& state() const { return this->control_state; }
   const Replica& replica() const { return this->log_replica; }
@@ -129,28 +145,60 @@
     std::uint64_t estate_revision = 0;  // decided whether to propose the call
     TimePoint next_progress;  // when the sender is told that it is in progress
   };
+  // Calls that wait for a document task. They have the same body.
+  struct DocumentCalls {
+    std::uint64_t body_checksum = 0;
+    std::size_t body_bytes = 0;
+    std::vector<PendingCall> calls;
+    std::optional<CheckedEstate> checked;  // waits until this leader serves
+  };
+  // The estate of a log entry.
+  struct EstatePreparation {
+    std::uint64_t term = 0;
+    std::uint64_t task_id = 0;
+    std::optional<EstateSubmission> submission;  // once prepared
+  };
+  // The state of a received snapshot.
+  struct StateRestoration {
+    std::uint64_t task_id = 0;
+    std::uint64_t index = 0;
+  };
 
   void UpdateLeadership();
+  bool ApplyDelivered();
+  void OnApplied(TimePoint now);
   void ApplyCommitted(const wire::LogEntry& entry);
   void ApplyCommand(const wire::LogEntry& entry, ApplyResult& result);
   void ReportCommandEvents(const wire::Command& command);
   void OnZonesChanged(const std::set<std::string>& before);
   void RecordKnowledgeOfEvacuation();
   void NotifyAgentsIn(const std::string& zone, TimePoint now);
-  bool AnswerKnownEstate(const wire::SubmitEstate& submission,
-                         const wire::ControlCall& call,
-                         std::uint64_t call_token);
-  bool JoinProposedEstate(const wire::ControlCall& call,
-                          std::uint64_t call_token,
-                          TimePoint now);
-  void AddPendingCall(std::uint64_t index,
-                      const wire::ControlCall& call,
-                      std::uint64_t call_token,
-                      TimePoint now);
+  std::uint64_t StartDocumentTask(DocumentInput input);
+  void OnEstateCall(wire::ControlCall call,
+                    std::uint64_t call_token,
+                    TimePoint now);
+  void OnEstateQuery(const wire::ControlCall& call,
+                     std::uint64_t call_token,
+                     TimePoint now);
+  bool JoinOpenEstateCall(std::uint64_t body_checksum,
+                          const PendingCall& pending);
+  void OnDocumentOutput(std::uint64_t task_id, DocumentOutput output);
+  void ProposeCheckedEstates(TimePoint now);
+  void ProposeEstate(DocumentCalls& open);
+  void RejectDocumentCalls();
+  void PrepareEntry(const wire::LogEntry& entry);
+  bool IsPrepared(const wire::LogEntry& entry) const;
+  void ApplyEstate(const wire::LogEntry& entry, ApplyResult& result);
+  void StartRestoration(const wire::Snapshot& snapshot);
+  void FinishRestoration(std::unique_ptr<ControlState> restored);
+  PendingCall MakePendingCall(const wire::ControlCall& call,
+                              std::uint64_t call_token,
+                              TimePoint now) const;
   void AnswerPendingCall(const PendingCall& pending,
                          const wire::LogEntry& entry,
                          const ApplyResult& result);
   void ReportProgress(TimePoint now);
+  void ReportProgressOf(PendingCall& pending, TimePoint now);
   void ReplyAsLeader(std::uint64_t call_token, wire::ControlReply reply);
   void OnJobCall(const wire::ControlCall& call,
                  std::uint64_t call_token,
@@ -174,7 +222,6 @@
   void HandleHeldReports(TimePoint now);
   void ExtendLeasesIfBusy(TimePoint now);
   std::uint64_t GroupTime(TimePoint now) const;
-  void Restore(const wire::Snapshot& snapshot);
   void Propose(const std::vector<wire::Command>& commands);
   void CompactIfLong();
   void AddOrders(const std::string& worker,
@@ -212,6 +259,13 @@
   // Log indexes of submitted estates that are not applied yet, by the checksum
   // of the call's body.
   std::map<std::uint64_t, std::uint64_t> proposed_estates;
+  std::uint64_t last_task_id = 0;
+  std::map<std::uint64_t, DocumentCalls> document_calls;           // by task id
+  std::map<std::uint64_t, EstatePreparation> estate_preparations;  // by index
+  std::optional<StateRestoration> restoration;
+  // Delivered entries that wait for a restoration, or for the estate of the
+  // first one to be prepared.
+  std::deque<wire::LogEntry> unapplied;
   std::map<std::string, std::uint64_t> sent_orders_versions;  // by worker
   std::map<std::string, ProcessRevision> processes;
   std::vector<ControlEffect> effects;
--- a/src/libestate/estate.cc
+++ b/src/libestate/estate.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "libbase/json_checker.h"
+#include "libbase/paced_work.h"
 #include "libestate/estate_document.h"
 
 namespace savoryring {
@@ -98,6 +99,9 @@
 
   void ParseQueues() {
     std::set<std::pair<std::string, std::string>> host_prefixes;
+    std::set<std::string> service_names;
+    for (const ServiceSpec& service : this->estate.services)
+      service_names.insert(service.name);
     for (const ObjectView& view : this->root.Objects("queues")) {
       view.AllowKeys({"name", "host", "prefix", "service", "priority",
                       "attempts", "slack", "latency_target_ms", "timeout_ms"});
@@ -116,9 +120,7 @@
       queue.timeout = view.Time("timeout_ms", queue.timeout);
       if (!host_prefixes.emplace(queue.host, queue.prefix).second)
         view.Report(ResultCode::kDuplicateName, "prefix", queue.prefix);
-      if (std::ranges::find(this->estate.services, queue.service,
-                            &ServiceSpec::name) ==
-          this->estate.services.end()) {
+      if (!service_names.contains(queue.service)) {
         view.Report(ResultCode::kDanglingDependency, "service",
                     "there is no service " + queue.service);
       }
@@ -223,6 +225,7 @@
   }
 
   void CheckDependenciesExist(const Node& node) {
+    CountParts(1 + node.depends_on.size());
     for (const std::string& target : node.depends_on) {
       if (!this->names.contains(target)) {
         this->problems.Add(ResultCode::kDanglingDependency, node.pointer,
@@ -274,13 +277,6 @@
   std::set<std::string> class_names;
 };
 
-std::map<std::string, std::string> SectionsOf(const nlohmann::json& document) {
-  std::map<std::string, std::string> sections;
-  for (const auto& item : document.items())
-    sections[item.key()] = item.value().dump();
-  return sections;
-}
-
 // Content of each item, by its kind and name.
 using ItemDescriptions = std::map<std::string, nlohmann::json>;
 
@@ -369,6 +365,13 @@
   return *this;
 }
 
+std::map<std::string, std::string> SectionsOf(const nlohmann::json& document) {
+  std::map<std::string, std::string> sections;
+  for (const auto& item : document.items())
+    sections[item.key()] = DumpInParts(item.value());
+  return sections;
+}
+
 Estate ParseEstateDocument(const nlohmann::json& document) {
   return EstateParser(document).Parse();
 }
@@ -378,9 +381,11 @@
 }
 
 ParsedEstate ParseEstateAndSections(std::string_view text) {
-  const nlohmann::json document = ParseJson(text);
-  return {.estate = ParseEstateDocument(document),
-          .sections = SectionsOf(document)};
+  nlohmann::json document = ParseJson(text);
+  ParsedEstate parsed{.estate = ParseEstateDocument(document),
+                      .sections = SectionsOf(document)};
+  ReleaseInParts(document);
+  return parsed;
 }
 
 std::map<std::string, std::string> CanonicalSections(std::string_view text) {
--- a/src/libestate/estate_state.cc
+++ b/src/libestate/estate_state.cc
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <string_view>
 #include <utility>
 
-#include "libbase/checksum.h"
 #include "libbase/json_checker.h"
 
 namespace savoryring {
@@ -24,43 +24,31 @@
   return ParseEstate(nlohmann::json{{"services", services}}.dump());
 }
 
-std::uint64_t SectionsChecksum(
-    const std::map<std::string, std::string>& sections) {
-  return Checksum(nlohmann::json(sections).dump());
-}
-
-std::string EmptySectionJson(const std::string& section) {
-  return section == "weights" ? "{}" : "[]";
+// The JSON of a section; that of an empty one if the estate has none.
+std::string_view SectionJson(const PreparedEstate& estate,
+                             const std::string& name) {
+  const auto found = estate.sections.find(name);
+  if (found != estate.sections.end())
+    return found->second;
+  return name == "weights" ? "{}" : "[]";
 }
 
 }  // namespace
 
-void EstateState::Prepare(const std::string& text) {
-  this->prepared = {.text = text, .parsed = ParseEstateAndSections(text)};
-}
-
-ParsedEstate EstateState::TakeParsed(const std::string& text) {
-  auto taken = std::exchange(this->prepared, std::nullopt);
-  if (taken && taken->text == text)
-    return std::move(taken->parsed);
-  return ParseEstateAndSections(text);
-}
+EstateState::EstateState() : current(PrepareEstate("{}")) {}
 
 ResultCode EstateState::Apply(const EstateSubmission& submission) {
   if (submission.version <= this->current_revision) {
     if (submission.highest_wins)
       return ResultCode::kOk;
-    return this->CheckAcceptedVersion(
-        submission.version,
-        SectionsChecksum(CanonicalSections(submission.text)));
+    return this->CheckAcceptedVersion(submission.version,
+                                      submission.prepared->checksum);
   }
   if (!submission.highest_wins &&
       submission.version != this->current_revision + 1)
     return ResultCode::kVersionNotNext;
-  ParsedEstate parsed = this->TakeParsed(submission.text);
-  this->current_estate = std::move(parsed.estate);
-  this->ReplaceCurrent(submission, parsed.sections);
-  this->RecordAccepted(submission.version, SectionsChecksum(parsed.sections));
+  this->ReplaceCurrent(submission);
+  this->RecordAccepted(submission.version, submission.prepared->checksum);
   return ResultCode::kOk;
 }
 
@@ -72,25 +60,16 @@
   return is_resend ? ResultCode::kOk : ResultCode::kVersionConflict;
 }
 
-void EstateState::ReplaceCurrent(const EstateSubmission& submission,
-                                 const SectionTexts& updated) {
-  this->current_revision = submission.version;
-  this->current_text = submission.text;
-  this->current_source = submission.source;
-  for (auto& [name, section] : this->sections) {
-    if (updated.contains(name) || section.json() == EmptySectionJson(name))
-      continue;
-    section.set_json(EmptySectionJson(name));
-    section.set_revision(submission.version);
-  }
-  for (const auto& [name, json] : updated) {
-    wire::EstateSection& section = this->sections[name];
-    if (section.json() == json)
-      continue;
-    section.set_name(name);
-    section.set_json(json);
-    section.set_revision(submission.version);
+void EstateState::ReplaceCurrent(const EstateSubmission& submission) {
+  const PreparedEstate& updated = *submission.prepared;
+  for (auto& [name, revision] : this->section_revisions) {
+    if (SectionJson(*this->current, name) != SectionJson(updated, name))
+      revision = submission.version;
   }
+  for (const auto& [name, json] : updated.sections)
+    this->section_revisions.try_emplace(name, submission.version);
+  this->current_revision = submission.version;
+  this->current = submission.prepared;
 }
 
 void EstateState::RecordAccepted(std::uint64_t version,
@@ -100,16 +79,24 @@
     this->accepted_checksums.erase(this->accepted_checksums.begin());
 }
 
+wire::EstateSection EstateState::MakeSection(const std::string& name) const {
+  wire::EstateSection section;
+  section.set_name(name);
+  section.set_json(std::string(SectionJson(*this->current, name)));
+  section.set_revision(this->section_revisions.at(name));
+  return section;
+}
+
 wire::EstateUpdate EstateState::ChangesSince(
     std::uint64_t known_revision,
     const std::vector<std::string>& wanted) const {
   wire::EstateUpdate update;
   update.set_revision(this->current_revision);
-  for (const auto& [name, section] : this->sections) {
+  for (const auto& [name, revision] : this->section_revisions) {
     const bool requested =
         wanted.empty() || std::ranges::find(wanted, name) != wanted.end();
-    if (requested && section.revision() > known_revision)
-      *update.add_sections() = section;
+    if (requested && revision > known_revision)
+      *update.add_sections() = this->MakeSection(name);
   }
   return update;
 }
@@ -117,10 +104,11 @@
 wire::EstateSnapshot EstateState::Save() const {
   wire::EstateSnapshot snapshot;
   snapshot.set_revision(this->current_revision);
-  snapshot.set_text(this->current_text);
-  snapshot.set_source(this->current_source);
-  for (const auto& [name, section] : this->sections)
-    *snapshot.add_sections() = section;
+  snapshot.set_text(this->current->text);
+  snapshot.set_source(this->current->source);
+  snapshot.set_parsed(this->current->parsed);
+  for (const auto& [name, revision] : this->section_revisions)
+    *snapshot.add_sections() = this->MakeSection(name);
   for (const auto& [version, checksum] : this->accepted_checksums) {
     wire::AcceptedRevision* accepted = snapshot.add_accepted();
     accepted->set_version(version);
@@ -131,12 +119,11 @@
 
 void EstateState::Restore(const wire::EstateSnapshot& snapshot) {
   this->current_revision = snapshot.revision();
-  this->current_text = snapshot.text();
-  this->current_source = snapshot.source();
-  this->current_estate = ParseEstate(this->current_text);
-  this->sections.clear();
+  this->current =
+      PrepareEstate(snapshot.text(), snapshot.source(), snapshot.parsed());
+  this->section_revisions.clear();
   for (const wire::EstateSection& section : snapshot.sections())
-    this->sections[section.name()] = section;
+    this->section_revisions[section.name()] = section.revision();
   this->accepted_checksums.clear();
   for (const wire::AcceptedRevision& accepted : snapshot.accepted())
     this->accepted_checksums[accepted.version()] = accepted.checksum();
--- a/src/libestate/estate_state.h
+++ b/src/libestate/estate_state.h
@@ -5,40 +5,38 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include "libestate/estate.pb.h"
+#include "libestate/prepared_estate.h"
 #include "savoryring/estate.h"
 #include "savoryring/result.h"
 
 namespace savoryring {
 
-/// An estate text that an operator submits, already validated.
+/// An estate that an operator submits.
 struct EstateSubmission {
   std::uint64_t version = 0;
   std::string request_id;
-  std::string text;
   /// Accepts any higher version; otherwise only the next version is accepted.
   bool highest_wins = false;
-  /// The operator's document that `text` was converted from, if any.
-  std::string source;
+  std::shared_ptr<const PreparedEstate> prepared;
 };
 
 /// The revision never decreases. Each section records the revision that last
 /// changed it, so that only changed sections are sent.
 class EstateState {
  public:
-  /// Parses and validates a text that is to be submitted. Apply() uses the
-  /// result if it gets the same text next. Throws Error as ParseEstate.
-  void Prepare(const std::string& text);
-
-  /// Applies a validated submission. Returns kOk also for a resend of an
-  /// accepted version with the same content, kVersionConflict for a current or
-  /// earlier version with other content (or one no longer recorded), and
-  /// kVersionNotNext for a version that skips ahead. With `highest_wins`, a
-  /// version that is not higher returns kOk and has no effect.
+  EstateState();
+
+  /// Applies a submission, without work on its items. Returns kOk also for a
+  /// resend of an accepted version with the same content, kVersionConflict for
+  /// a current or earlier version with other content (or one no longer
+  /// recorded), and kVersionNotNext for a version that skips ahead. With
+  /// `highest_wins`, a version that is not higher returns kOk and has no
+  /// effect.
   ResultCode Apply(const EstateSubmission& submission);
 
   /// Returns the sections that changed after `known_revision`, restricted to
@@ -51,33 +49,27 @@
   void Restore(const wire::EstateSnapshot& snapshot);
 
   std::uint64_t revision() const { return this->current_revision; }
-  const std::string& text() const { return this->current_text; }
+  const std::string& text() const { return this->current->text; }
   /// The operator's document that the text was converted from; empty if the
   /// text was submitted as it is.
-  const std::string& source() const { return this->current_source; }
-  const Estate& estate() const { return this->current_estate; }
+  const std::string& source() const { return this->current->source; }
+  const Estate& estate() const { return this->current->estate; }
+  /// Never null.
+  const std::shared_ptr<const PreparedEstate>& prepared() const {
+    return this->current;
+  }
 
  private:
-  using SectionTexts = std::map<std::string, std::string>;
-
-  struct PreparedEstate {
-    std::string text;
-    ParsedEstate parsed;
-  };
-
-  ParsedEstate TakeParsed(const std::string& text);
   ResultCode CheckAcceptedVersion(std::uint64_t version,
                                   std::uint64_t checksum) const;
-  void ReplaceCurrent(const EstateSubmission& submission,
-                      const SectionTexts& updated);
+  void ReplaceCurrent(const EstateSubmission& submission);
   void RecordAccepted(std::uint64_t version, std::uint64_t checksum);
+  wire::EstateSection MakeSection(const std::string& name) const;
 
   std::uint64_t current_revision = 0;
-  std::string current_text = "{}";
-  std::string current_source;
-  Estate current_estate;
-  std::optional<PreparedEstate> prepared;
-  std::map<std::string, wire::EstateSection> sections;
+  std::shared_ptr<const PreparedEstate> current;
+  // The revision that last changed each section, also of removed ones.
+  std::map<std::string, std::uint64_t> section_revisions;
   // Checksum of the accepted sections, by version.
   std::map<std::uint64_t, std::uint64_t> accepted_checksums;
 };
--- a/src/libplacement/control_state.cc
+++ b/src/libplacement/control_state.cc
@@ -28,7 +28,8 @@
   this->index = index;
   switch (command.body_case()) {
     case wire::Command::kSubmitEstate:
-      return this->ApplySubmitEstate(command.submit_estate());
+      return this->ApplyEstate(ToEstateSubmission(command.submit_estate()),
+                               index);
     case wire::Command::kRegisterWorker:
       return this->ApplyRegisterWorker(command.register_worker());
     case wire::Command::kLoseWorker:
@@ -70,14 +71,20 @@
 
 // --- The estate ---
 
-ApplyResult ControlState::ApplySubmitEstate(const wire::SubmitEstate& command) {
+EstateSubmission ToEstateSubmission(wire::SubmitEstate command) {
+  return {.version = command.version(),
+          .request_id = std::move(*command.mutable_request_id()),
+          .highest_wins = command.highest_wins(),
+          .prepared = PrepareEstate(std::move(*command.mutable_text()),
+                                    std::move(*command.mutable_source()),
+                                    command.parsed())};
+}
+
+ApplyResult ControlState::ApplyEstate(const EstateSubmission& submission,
+                                      std::uint64_t index) {
+  this->index = index;
   const std::uint64_t old_revision = this->estate_state.revision();
-  const ResultCode code =
-      this->estate_state.Apply({.version = command.version(),
-                                .request_id = command.request_id(),
-                                .text = command.text(),
-                                .highest_wins = command.highest_wins(),
-                                .source = command.source()});
+  const ResultCode code = this->estate_state.Apply(submission);
   if (this->estate_state.revision() != old_revision)
     this->ReconcileEstate();
   return {.code = code};
--- a/src/libplacement/control_state.h
+++ b/src/libplacement/control_state.h
@@ -36,6 +36,9 @@
   std::set<std::string> tasks;  ///< Ids of tasks assigned or stopping here.
 };
 
+/// Parses and validates the estate. Throws Error as ParseEstate.
+EstateSubmission ToEstateSubmission(wire::SubmitEstate command);
+
 /// Result of applying a command.
 struct ApplyResult {
   ResultCode code = ResultCode::kOk;
@@ -47,14 +50,13 @@
  public:
   explicit ControlState(ControlMutations mutations = {});
 
-  /// Applies the log entry at `index`. Never throws for a decodable command.
+  /// Applies the log entry at `index`. Throws only for an estate that is not
+  /// valid (Error as ParseEstate), whose text it parses.
   ApplyResult Apply(const wire::Command& command, std::uint64_t index);
 
-  /// Parses and validates the text of an estate that is to be submitted, which
-  /// then is not parsed again when it is applied. Throws Error as ParseEstate.
-  void PrepareEstate(const std::string& text) {
-    this->estate_state.Prepare(text);
-  }
+  /// Does what Apply does for SubmitEstate, with an estate that is prepared.
+  ApplyResult ApplyEstate(const EstateSubmission& submission,
+                          std::uint64_t index);
 
   wire::ControlSnapshot Save() const;
   void Restore(const wire::ControlSnapshot& snapshot);
@@ -96,7 +98,6 @@
   std::vector<wire::TaskOrder> OrdersFor(const std::string& worker) const;
 
  private:
-  ApplyResult ApplySubmitEstate(const wire::SubmitEstate& command);
   ApplyResult ApplyRegisterWorker(const wire::RegisterWorker& command);
   ApplyResult ApplyLoseWorker(const wire::LoseWorker& command);
   ApplyResult ApplySubmitTask(const wire::SubmitTask& command);
--- a/src/libreplication/replica.cc
+++ b/src/libreplication/replica.cc
@@ -92,11 +92,11 @@
   }
 }
 
-std::optional<std::uint64_t> Replica::Propose(const std::string& command) {
+std::optional<std::uint64_t> Replica::Propose(std::string command) {
   if (!this->IsLeader())
     return std::nullopt;
   wire::LogEntry entry;
-  entry.set_command(command);
+  entry.set_command(std::move(command));
   this->AppendAsLeader(std::move(entry));
   return this->last_index();
 }
@@ -119,7 +119,8 @@
 // The rest of a long log is delivered with the next outputs.
 void Replica::DeliverCommitted() {
   std::size_t bytes = 0;
-  while (this->delivered_index < this->committed_index &&
+  while (!this->delivery_paused &&
+         this->delivered_index < this->committed_index &&
          this->output.committed.size() < kMaxDeliveredEntries &&
          bytes < kMaxDeliveredBytes) {
     this->delivered_index += 1;
--- a/src/libreplication/replica.h
+++ b/src/libreplication/replica.h
@@ -109,7 +109,7 @@
 
   /// Appends a command to the log. Returns its index, or nothing if this
   /// replica is not the leader.
-  std::optional<std::uint64_t> Propose(const std::string& command);
+  std::optional<std::uint64_t> Propose(std::string command);
 
   /// Steps down and lets the voter with the longest matching log start an
   /// election immediately. Does nothing if this replica is not the leader.
@@ -120,6 +120,10 @@
   /// Confirms that the records of the last output are on disk.
   void OnStored(TimePoint now);
 
+  /// While delivery is paused, outputs have no committed entries. The owner may
+  /// need time for those that it has.
+  void SetDeliveryPaused(bool paused) { this->delivery_paused = paused; }
+
   /// Replaces the log up to `index` with a snapshot that holds `state`. The
   /// entry at `index` must have been delivered as committed.
   void Compact(std::uint64_t index, std::string state);
@@ -309,7 +313,8 @@
   LogEntries log;
   std::uint64_t committed_index = 0;
   std::uint64_t delivered_index = 0;  // last entry put into an output
-  std::uint64_t durable_index = 0;    // last entry known to be on disk
+  bool delivery_paused = false;
+  std::uint64_t durable_index = 0;  // last entry known to be on disk
 
   std::string leader;
   TimePoint leadership_start = kNever;
--- a/src/libtransport/duty_loop.cc
+++ b/src/libtransport/duty_loop.cc
@@ -17,19 +17,20 @@
 constexpr Milliseconds kMaxReadAge{50};
 constexpr int kMaxReadRounds = 2;
 
+void LogIfSlow(std::string_view step, TimePoint begin, TimePoint end) {
+  const Milliseconds duration = RemainingTime(begin, end);
+  if (duration < kLoggedStepTime)
+    return;
+  LogEvent(Event::kSlowStep, {{"step", std::string(step)},
+                              {"took_ms", std::to_string(duration.count())}});
+}
+
 // Logs a step of the loop that took so long that messages waited.
 class StepTimer {
  public:
   explicit StepTimer(std::string_view what)
       : what(what), begin(BootClock::now()) {}
-  ~StepTimer() {
-    const Milliseconds duration = RemainingTime(this->begin, BootClock::now());
-    if (duration >= kLoggedStepTime) {
-      LogEvent(Event::kSlowStep,
-               {{"step", std::string(this->what)},
-                {"took_ms", std::to_string(duration.count())}});
-    }
-  }
+  ~StepTimer() { LogIfSlow(this->what, this->begin, BootClock::now()); }
   StepTimer(const StepTimer&) = delete;
   StepTimer& operator=(const StepTimer&) = delete;
 
@@ -66,6 +67,7 @@
     const std::lock_guard lock(this->mutex);
     this->stopping = true;
   }
+  this->ticket_admitted.notify_all();
   this->link->Wake();
   if (this->thread.joinable())
     this->thread.join();
@@ -81,6 +83,25 @@
   this->link->Wake();
 }
 
+void DutyLoop::AwaitIteration() {
+  std::unique_lock lock(this->mutex);
+  const std::uint64_t ticket = ++this->last_ticket;
+  this->link->Wake();
+  this->ticket_admitted.wait(lock, [this, ticket] {
+    return this->stopping || this->last_admitted >= ticket;
+  });
+}
+
+void DutyLoop::EndIteration() {
+  const std::lock_guard lock(this->mutex);
+  if (this->last_admitted == this->last_ticket)
+    return;
+  this->last_admitted += 1;
+  this->ticket_admitted.notify_all();
+  if (this->last_admitted < this->last_ticket)
+    this->link->Wake();
+}
+
 void DutyLoop::Run() {
   TimePoint next_tick = BootClock::now();
   while (true) {
@@ -101,8 +122,11 @@
       this->handler->OnTick(now);
       next_tick = now + kTickInterval;
     }
-    const StepTimer timer("batch-end");
-    this->handler->OnBatchEnd(now);
+    {
+      const StepTimer timer("batch-end");
+      this->handler->OnBatchEnd(now);
+    }
+    this->EndIteration();
   }
 }
 
@@ -110,9 +134,11 @@
 // long step, must have been read before.
 void DutyLoop::ReadMessages(Milliseconds timeout) {
   for (int round = 0; round < kMaxReadRounds; ++round) {
-    const auto messages =
-        this->link->Poll(round == 0 ? timeout : Milliseconds(0));
+    const Milliseconds longest = round == 0 ? timeout : Milliseconds(0);
+    const TimePoint poll_end = BootClock::now() + longest;
+    const auto messages = this->link->Poll(longest);
     const TimePoint read_time = BootClock::now();
+    LogIfSlow("poll", poll_end, read_time);
     for (const Received& message : messages) {
       const StepTimer timer(wire::MessageKind_Name(message.envelope.kind()));
       this->handler->OnMessage(message, BootClock::now());
--- a/src/libtransport/duty_loop.h
+++ b/src/libtransport/duty_loop.h
@@ -4,6 +4,8 @@
 #ifndef SAVORYRING_LIBTRANSPORT_DUTY_LOOP_H_
 #define SAVORYRING_LIBTRANSPORT_DUTY_LOOP_H_
 
+#include <condition_variable>
+#include <cstdint>
 #include <functional>
 #include <future>
 #include <memory>
@@ -41,6 +43,11 @@
   /// Queues `work` to run on the loop's thread. Discarded after Stop. Thread
   /// safe.
   void Post(std::function<void()> work);
+  /// Waits for the end of an iteration of the loop; after each one, one of the
+  /// waiting threads goes on. Long work on other threads calls it now and then,
+  /// so that the loop gets the processor. Returns at once after Stop. Thread
+  /// safe; not for the loop's thread.
+  void AwaitIteration();
 
   /// Runs `function` on the loop's thread and waits for its result. Returns
   /// nullopt if there is none by `deadline`; `function` may still run after
@@ -60,12 +67,17 @@
   void Run();
   void ReadMessages(Milliseconds timeout);
   void RunPosted();
+  void EndIteration();
 
   Link* link;
   DutyHandler* handler;
   std::mutex mutex;
   std::vector<std::function<void()>> posted;
   bool stopping = false;
+  // Threads that wait for an iteration have consecutive tickets.
+  std::uint64_t last_ticket = 0;
+  std::uint64_t last_admitted = 0;
+  std::condition_variable ticket_admitted;
   std::thread thread;
 };
 
--- a/src/libtransport/duty_loop_test.cc
+++ b/src/libtransport/duty_loop_test.cc
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <atomic>
 #include <thread>
 
 namespace savoryring {
@@ -60,4 +61,24 @@
   loop.Stop();
 }
 
+TEST(DutyLoop, LongWorkOnOtherThreadsWaitsForTheLoop) {
+  class Handler : public DutyHandler {
+   public:
+    void OnMessage(const Received&, TimePoint) override {}
+    void OnTick(TimePoint) override {}
+    void OnBatchEnd(TimePoint) override { this->iterations += 1; }
+    std::atomic<int> iterations = 0;
+  };
+  Link link({.bind_address = kLoopAddress, .sender = "loop"});
+  Handler handler;
+  DutyLoop loop(link, handler);
+  loop.Start();
+  for (int i = 1; i <= 100; ++i) {
+    loop.AwaitIteration();
+    CHECK(handler.iterations >= i);
+  }
+  loop.Stop();
+  loop.AwaitIteration();
+}
+
 }  // namespace savoryring
--- a/src/savoryringd/control_access.h
+++ b/src/savoryringd/control_access.h
@@ -2,6 +2,8 @@
 #ifndef SAVORYRING_SAVORYRINGD_CONTROL_ACCESS_H_
 #define SAVORYRING_SAVORYRINGD_CONTROL_ACCESS_H_
 
+#include <string_view>
+
 #include "libtransport/http.h"
 #include "savoryring/time.h"
 
@@ -15,6 +17,11 @@
   virtual void Forward(const HttpRequest& request,
                        TimePoint deadline,
                        const HttpResponder& respond) = 0;
+  /// Whether this is the operator's document of the estate in force, as far as
+  /// this process knows. Thread safe.
+  virtual bool IsEstateInForce(std::string_view source) = 0;
+  /// See DutyLoop::AwaitIteration().
+  virtual void AwaitIteration() = 0;
 };
 
 }  // namespace savoryring
--- a/src/savoryringd/control_duty.cc
+++ b/src/savoryringd/control_duty.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "libbase/events.h"
+#include "libbase/paced_work.h"
 
 namespace savoryring {
 namespace {
@@ -113,7 +114,7 @@
                kPeerTimeoutHeartbeats),
       replica_links(PeerLinksById(process.settings().controls)),
       loop(this->link, *this) {
-  this->link.SetRevision(this->core.state().estate().revision());
+  this->PublishEstate();
   if (this->store.truncated_bytes() > 0) {
     LogEvent(Event::kTornTailCut,
              {{"bytes", std::to_string(this->store.truncated_bytes())}});
@@ -275,7 +276,7 @@
         this->link.Reply(origin, wire::CONTROL_REPLY,
                          reply.SerializeAsString());
       };
-  this->core.OnCall(call, this->last_call_token, now);
+  this->core.OnCall(std::move(call), this->last_call_token, now);
 }
 
 // The seeds may change while the process runs. Processes that start later know
@@ -358,7 +359,24 @@
       break;
     }
   }
-  this->link.SetRevision(this->core.state().estate().revision());
+  this->PublishEstate();
+}
+
+void ControlDuty::PublishEstate() {
+  const EstateState& estate = this->core.state().estate();
+  this->link.SetRevision(estate.revision());
+  const std::lock_guard lock(this->estate_mutex);
+  this->estate_in_force = estate.prepared();
+}
+
+// An applied estate is committed.
+bool ControlDuty::IsEstateInForce(std::string_view source) {
+  std::shared_ptr<const PreparedEstate> estate;
+  {
+    const std::lock_guard lock(this->estate_mutex);
+    estate = this->estate_in_force;
+  }
+  return estate && !source.empty() && estate->source == source;
 }
 
 void ControlDuty::Store(const ReplicaOutput& output) {
@@ -369,7 +387,7 @@
 }
 
 void ControlDuty::RunEffects(TimePoint now) {
-  for (const ControlEffect& effect : this->core.TakeEffects(now)) {
+  for (ControlEffect& effect : this->core.TakeEffects(now)) {
     if (const auto* orders = std::get_if<SendOrders>(&effect)) {
       const auto origin = this->worker_origins.find(orders->worker);
       if (origin != this->worker_origins.end()) {
@@ -389,6 +407,13 @@
       found->second(reply->reply);
       if (!reply->reply.in_progress())
         this->reply_callbacks.erase(found);
+    } else if (auto* task = std::get_if<DocumentTask>(&effect)) {
+      this->RunTask(std::move(*task));
+    } else if (auto* unused = std::get_if<ReleaseDocument>(&effect)) {
+      this->document_thread.Run(
+          [document = std::move(unused->document)]() mutable {
+            document.reset();
+          });
     } else {
       const auto& operator_event = std::get<OperatorEvent>(effect);
       this->process->metrics().Count(
@@ -402,6 +427,25 @@
   }
 }
 
+// A task that finds no thread must not wait for one, as replies and committed
+// entries wait for it.
+void ControlDuty::RunTask(DocumentTask task) {
+  const auto shared_task = std::make_shared<DocumentTask>(std::move(task));
+  const auto run = [this, shared_task] {
+    const auto result = std::make_shared<DocumentResult>(
+        RunDocumentTask(std::move(*shared_task)));
+    this->loop.Post([this, result] {
+      this->core.OnDocumentResult(std::move(*result), BootClock::now());
+    });
+  };
+  const bool started = this->document_thread.TryRun([this, run] {
+    const PacedWork paced({.pause = [this] { this->loop.AwaitIteration(); }});
+    run();
+  });
+  if (!started)
+    run();
+}
+
 void ControlDuty::SendReplicaMessage(const OutgoingReplicaMessage& outgoing,
                                      TimePoint now) {
   const std::string body = outgoing.message.SerializeAsString();
--- a/src/savoryringd/control_duty.h
+++ b/src/savoryringd/control_duty.h
@@ -7,7 +7,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
+#include <string_view>
 
 #include "libcontrol/control_core.h"
 #include "libreplication/replica_store.h"
@@ -15,6 +17,7 @@
 #include "libtransport/http.h"
 #include "libtransport/link.h"
 #include "libtransport/peer_liveness.h"
+#include "libtransport/work_pool.h"
 #include "savoryringd/control_access.h"
 #include "savoryringd/control_caller.h"
 #include "savoryringd/process.h"
@@ -36,6 +39,8 @@
   void Forward(const HttpRequest& request,
                TimePoint deadline,
                const HttpResponder& respond) override;
+  bool IsEstateInForce(std::string_view source) override;
+  void AwaitIteration() override { this->loop.AwaitIteration(); }
 
  private:
   using ReplyCallback = std::function<void(const wire::ControlReply&)>;
@@ -58,6 +63,9 @@
   void Flush(TimePoint now);
   void Store(const ReplicaOutput& output);
   void RunEffects(TimePoint now);
+  void PublishEstate();
+  /// Runs the task on another thread.
+  void RunTask(DocumentTask task);
   /// Address of the replica; empty if unknown.
   std::string LinkOfReplica(const std::string& id) const;
   /// Tells the core which estate revision the sender has applied.
@@ -81,9 +89,12 @@
   std::map<std::string, Origin> replica_origins;
   std::map<std::string, Origin> worker_origins;
   std::map<std::string, Origin> agent_origins;
+  std::mutex estate_mutex;
+  std::shared_ptr<const PreparedEstate> estate_in_force;  // by estate_mutex
   std::atomic<bool> ready{false};
   std::atomic<bool> leaving{false};
   DutyLoop loop;
+  WorkPool document_thread{1};
   std::unique_ptr<HttpServer> server;
 };
 
--- a/src/savoryringd/gateway_duty.h
+++ b/src/savoryringd/gateway_duty.h
@@ -47,6 +47,8 @@
   void Forward(const HttpRequest& request,
                TimePoint deadline,
                const HttpResponder& respond) override;
+  bool IsEstateInForce(std::string_view) override { return false; }
+  void AwaitIteration() override { this->loop.AwaitIteration(); }
   /// Whether the leader has answered recently, so that calls are likely to be
   /// answered. Thread safe.
   bool IsReady() const;
--- a/testsuite/schedule/nodes.cc
+++ b/testsuite/schedule/nodes.cc
@@ -231,8 +231,7 @@
 }
 
 void ControlNode::RunEffects() {
-  for (const ControlEffect& effect :
-       this->control->TakeEffects(this->LocalNow())) {
+  for (ControlEffect& effect : this->control->TakeEffects(this->LocalNow())) {
     if (const auto* orders = std::get_if<SendOrders>(&effect)) {
       auto* to = static_cast<VmNode*>(this->test_estate->Find(orders->worker));
       this->Reply(*to, [to, copy = orders->orders, from = this->name()] {
@@ -250,12 +249,32 @@
       found->second(reply->reply);
       if (!reply->reply.in_progress())
         this->pending_calls.erase(found);
-    } else {
+    } else if (auto* task = std::get_if<DocumentTask>(&effect)) {
+      this->RunTask(std::make_shared<DocumentTask>(std::move(*task)));
+    } else if (std::holds_alternative<OperatorEvent>(effect)) {
       this->TraceEvent(std::get<OperatorEvent>(effect));
     }
   }
 }
 
+void ControlNode::RunTask(const std::shared_ptr<DocumentTask>& task) {
+  const Milliseconds longest = this->test_estate->options.document_time;
+  const Milliseconds time =
+      longest == Milliseconds(0)
+          ? longest
+          : this->simulation().RandomTime(Milliseconds(0), longest);
+  const std::uint64_t expected_start_count = this->start_count;
+  this->simulation().RunAfter(time, [this, task, expected_start_count] {
+    if (this->start_count != expected_start_count)
+      return;
+    this->RunWhenUnfrozen([this, task] {
+      this->control->OnDocumentResult(RunDocumentTask(std::move(*task)),
+                                      this->LocalNow());
+      this->Flush();
+    });
+  });
+}
+
 void ControlNode::TraceEvent(const OperatorEvent& event) {
   const auto info =
       std::ranges::find(EventCatalogue(), event.event, &EventInfo::event);
--- a/testsuite/schedule/nodes.h
+++ b/testsuite/schedule/nodes.h
@@ -85,6 +85,7 @@
   void Store(const ReplicaOutput& output);
   void Send(const ReplicaOutput& output);
   void RunEffects();
+  void RunTask(const std::shared_ptr<DocumentTask>& task);
   bool IsAwaitedLoss(const ReplicaOutput& output) const;
   void CheckInvariants(const ReplicaOutput& output);
   void TraceEvent(const OperatorEvent& event);
@@ -226,6 +227,8 @@
   bool open_membership = false;
   std::uint64_t snapshot_after_entries = 60;
   Milliseconds lease{2000};
+  /// A control process takes up to this long for a document task.
+  Milliseconds document_time{0};
   Mutations mutations;
 };
 
