A job call finds its queue without a look at all of them

What callers saw: nothing by itself.

Test: Estate.AQueueIsFoundByItsLongestPrefixWithoutALookAtAll, on 16,640 queues; the index that it asks did not exist before.

Change: QueueIndex, made when an estate is prepared, off the loop; lookups by host and prefix, and by name.

--- a/src/include/savoryring/estate.h
+++ b/src/include/savoryring/estate.h
@@ -3,10 +3,15 @@
 #ifndef SAVORYRING_ESTATE_H_
 #define SAVORYRING_ESTATE_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "savoryring/time.h"
@@ -61,6 +66,26 @@
   Milliseconds timeout{kDefaultServiceTimeout};
 };
 
+/// Finds a queue without a look at all of them.
+class QueueIndex {
+ public:
+  void Add(const QueueSpec& queue, std::size_t position);
+
+  /// Position of the queue of the host with the longest prefix of `path`.
+  std::optional<std::size_t> Find(const std::string& host,
+                                  const std::string& path) const;
+  /// Position of the first queue with this name.
+  std::optional<std::size_t> FindByName(const std::string& name) const;
+
+ private:
+  struct HostQueues {
+    std::unordered_map<std::string, std::size_t> by_prefix;
+    std::set<std::size_t, std::greater<>> prefix_sizes;
+  };
+  std::unordered_map<std::string, HostQueues> by_host;
+  std::unordered_map<std::string, std::size_t> by_name;
+};
+
 struct TeamSpec {
   std::string name;
   Resources quota;
@@ -81,6 +106,9 @@
   std::vector<TeamSpec> teams;
   std::vector<QueueSpec> queues;
   Weights weights;
+  QueueIndex queue_index;  ///< Of `queues`; made by IndexQueues().
+
+  void IndexQueues();
 };
 
 /// Parses and validates an estate file. Throws Error with all problems found;
--- a/src/libestate/estate.cc
+++ b/src/libestate/estate.cc
@@ -38,6 +38,7 @@
     this->ParseWeights();
     this->CheckDependencies();
     this->problems.ThrowIfAny();
+    this->estate.IndexQueues();
     return std::move(this->estate);
   }
 
@@ -372,6 +373,45 @@
   return sections;
 }
 
+void QueueIndex::Add(const QueueSpec& queue, std::size_t position) {
+  HostQueues& queues = this->by_host[queue.host];
+  queues.by_prefix.try_emplace(queue.prefix, position);
+  queues.prefix_sizes.insert(queue.prefix.size());
+  this->by_name.try_emplace(queue.name, position);
+}
+
+std::optional<std::size_t> QueueIndex::Find(const std::string& host,
+                                            const std::string& path) const {
+  const auto queues = this->by_host.find(host);
+  if (queues == this->by_host.end())
+    return std::nullopt;
+  const HostQueues& candidates = queues->second;
+  for (auto size = candidates.prefix_sizes.lower_bound(path.size());
+       size != candidates.prefix_sizes.end(); ++size) {
+    CountParts();
+    const auto found = candidates.by_prefix.find(path.substr(0, *size));
+    if (found != candidates.by_prefix.end())
+      return found->second;
+  }
+  return std::nullopt;
+}
+
+std::optional<std::size_t> QueueIndex::FindByName(
+    const std::string& name) const {
+  const auto found = this->by_name.find(name);
+  if (found == this->by_name.end())
+    return std::nullopt;
+  return found->second;
+}
+
+void Estate::IndexQueues() {
+  this->queue_index = {};
+  for (std::size_t i = 0; i < this->queues.size(); ++i) {
+    CountParts();
+    this->queue_index.Add(this->queues[i], i);
+  }
+}
+
 Estate ParseEstateDocument(const nlohmann::json& document) {
   return EstateParser(document).Parse();
 }
--- a/src/libestate/estate_test.cc
+++ b/src/libestate/estate_test.cc
@@ -82,6 +82,37 @@
   STRCMP_EQUAL("+ service c", lines[2].c_str());
 }
 
+// Guards against job calls that compare all queues of a large estate.
+TEST(Estate, AQueueIsFoundByItsLongestPrefixWithoutALookAtAll) {
+  std::string text = R"({"services":[{"name":"s"}],"queues":[)"
+                     R"({"name":"short","host":"h","prefix":"/q/",)"
+                     R"("service":"s"},)"
+                     R"({"name":"long","host":"h","prefix":"/q/7/a/",)"
+                     R"("service":"s"})";
+  for (int i = 0; i < 16'640; ++i) {
+    const std::string number = std::to_string(i);
+    text += R"(,{"name":"q)" + number + R"(","host":"h","prefix":"/q/)" +
+            number + R"(/","service":"s"})";
+  }
+  const Estate estate = ParseEstate(text + "]}");
+  const auto name_of = [&estate](const std::string& host,
+                                 const std::string& path) {
+    const std::uint64_t before = CountedParts();
+    const auto found = estate.queue_index.Find(host, path);
+    CHECK(CountedParts() - before < 10);
+    return found ? estate.queues[*found].name : "";
+  };
+  STRCMP_EQUAL("q16639", name_of("h", "/q/16639/job").c_str());
+  STRCMP_EQUAL("q7", name_of("h", "/q/7/job").c_str());
+  STRCMP_EQUAL("long", name_of("h", "/q/7/a/job").c_str());
+  STRCMP_EQUAL("short", name_of("h", "/q/job").c_str());
+  STRCMP_EQUAL("short", name_of("h", "/q/").c_str());
+  STRCMP_EQUAL("", name_of("h", "/q").c_str());
+  STRCMP_EQUAL("", name_of("other", "/q/7/job").c_str());
+  CHECK(estate.queue_index.FindByName("q7") == 9);
+  CHECK(!estate.queue_index.FindByName("q"));
+}
+
 TEST_GROUP(EstateState) {
   EstateState state;
 
@@ -137,7 +168,7 @@
   CHECK(!parsed->parsed.empty());
   const std::uint64_t before = CountedParts();
   const auto read = PrepareEstate(text, "source", parsed->parsed);
-  LONGS_EQUAL(30, CountedParts() - before);
+  LONGS_EQUAL(31, CountedParts() - before);
   CHECK(read->text == text);
   CHECK(read->source == "source");
   CHECK(read->parsed == parsed->parsed);
--- a/src/libestate/prepared_estate.cc
+++ b/src/libestate/prepared_estate.cc
@@ -134,6 +134,7 @@
     CountParts(kPartsPerItem);
     prepared->estate.queues.push_back(DecodeQueue(queue));
   }
+  prepared->estate.IndexQueues();
   return prepared;
 }
 
--- a/src/libjobs/job_calls.cc
+++ b/src/libjobs/job_calls.cc
@@ -37,16 +37,10 @@
 QueueMatch FindQueue(const Estate& estate,
                      const std::string& host,
                      const std::string& path) {
-  QueueMatch match;
-  for (const QueueSpec& queue : estate.queues) {
-    const bool matches = queue.host == host && path.starts_with(queue.prefix);
-    const bool longer = match.queue == nullptr ||
-                        queue.prefix.size() > match.queue->prefix.size();
-    if (matches && longer)
-      match.queue = &queue;
-  }
-  if (match.queue == nullptr)
+  const auto position = estate.queue_index.Find(host, path);
+  if (!position)
     throw Error(ResultCode::kUnknownQueue, host + path);
+  QueueMatch match{.queue = &estate.queues[*position]};
   match.id = path.substr(match.queue->prefix.size());
   return match;
 }
--- a/src/libjobs/job_documents.cc
+++ b/src/libjobs/job_documents.cc
@@ -177,11 +177,10 @@
     ReadStep(step, spec.add_steps());
   ReadRepeat(view, spec);
   problems.ThrowIfAny();
-  const auto queue =
-      std::ranges::find(estate.queues, queue_name, &QueueSpec::name);
-  if (queue == estate.queues.end())
+  const auto position = estate.queue_index.FindByName(queue_name);
+  if (!position)
     throw Error(ResultCode::kUnknownQueue, queue_name);
-  ApplyQueueSettings(*queue, spec);
+  ApplyQueueSettings(estate.queues[*position], spec);
   ValidateJob(spec);
   return spec;
 }
--- a/src/libjobs/job_documents_test.cc
+++ b/src/libjobs/job_documents_test.cc
@@ -19,6 +19,7 @@
     queue.slack = 1.5;
     queue.latency_target = Milliseconds(800);
     this->estate.queues.push_back(queue);
+    this->estate.IndexQueues();
   }
   ResultCode CodeOf(const std::string& text) {
     try {
