Reading the configuration back no longer loads the leader with the document

Cause: each read of the configuration was a call to the leader, which sent 1.7 MB for it over the link, several times a second (1108 large-message, CONTROL_REPLY): copies and transfers as long as the document is large, on the loop that keeps the lease.

Change: a control asks the leader which revision is in force (PING), and answers from its own replica if that has applied it. Otherwise, and on processes without a replica, the call goes to the leader as before.

--- a/src/savoryringd/control_duty.cc
+++ b/src/savoryringd/control_duty.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <chrono>
+#include <string_view>
 #include <utility>
 
 #include "libbase/events.h"
@@ -13,6 +14,7 @@
 
 constexpr Milliseconds kCallTimeout{5000};
 constexpr Milliseconds kPublishInterval{500};
+constexpr std::string_view kEstateSourcePath = "/estate/source";
 // The connection to a replica that does not answer within this many heartbeat
 // intervals is replaced.
 constexpr int kPeerTimeoutHeartbeats = 4;
@@ -182,9 +184,33 @@
     respond(MakeResultResponse(ResultCode::kNotReady, ""));
     return;
   }
-  this->control_caller.Forward(request,
-                               this->process->drain().AnswerDeadline(deadline),
-                               this->loop, respond);
+  const TimePoint limited = this->process->drain().AnswerDeadline(deadline);
+  if (request.method == "GET" && request.path == kEstateSourcePath)
+    this->AnswerEstateSource(request, limited, respond);
+  else
+    this->control_caller.Forward(request, limited, this->loop, respond);
+}
+
+// The document may be large: it is sent by the leader only if this process has
+// not applied the revision that the leader names.
+void ControlDuty::AnswerEstateSource(const HttpRequest& request,
+                                     TimePoint deadline,
+                                     const HttpResponder& respond) {
+  wire::ControlCall ping;
+  ping.set_method("PING");
+  ping.set_read_only(true);
+  this->control_caller.CallFromThread(
+      std::move(ping), deadline, this->loop,
+      [this, request, deadline, respond](const wire::ControlReply& reply) {
+        const EstateState& estate = this->core.state().estate();
+        const bool is_current = reply.status() == 200 &&
+                                estate.revision() >= reply.estate_revision() &&
+                                !estate.source().empty();
+        if (is_current)
+          respond(MakeJsonResponse(200, estate.source()));
+        else
+          this->control_caller.Forward(request, deadline, this->loop, respond);
+      });
 }
 
 void ControlDuty::OnMessage(const Received& message, TimePoint now) {
--- a/src/savoryringd/control_duty.h
+++ b/src/savoryringd/control_duty.h
@@ -50,6 +50,9 @@
   void OnBatchEnd(TimePoint now) override;
 
   void ApplyReloadedSettings();
+  void AnswerEstateSource(const HttpRequest& request,
+                          TimePoint deadline,
+                          const HttpResponder& respond);
   void OnHttp(const HttpRequest& request, const HttpResponder& respond);
   void OnReplicaMessage(const Received& message, TimePoint now);
   void OnHeartbeat(const Received& message, TimePoint now);
