--- a/src/libestate/estate_test.cc
+++ b/src/libestate/estate_test.cc
@@ -175,6 +175,12 @@
   CHECK(read->sections == parsed->sections);
   CHECK(read->checksum == parsed->checksum);
   CHECK(DescribeDifference(parsed->estate, read->estate).empty());
+  EstateState from_text;
+  EstateState from_parsed_form;
+  from_text.Apply({.version = 1, .prepared = PrepareEstate(text, "source")});
+  from_parsed_form.Apply({.version = 1, .prepared = read});
+  CHECK(from_text.Save().SerializeAsString() ==
+        from_parsed_form.Save().SerializeAsString());
   CHECK(parsed->text ==
         PrepareEstateDocument(nlohmann::json::parse(text))->text);
   CHECK(parsed->parsed ==
